--- /dev/null
+++ b/core/src/main/java/org/oleanderstep/core/model/MemberId.java
@@ -0,0 +1,17 @@
+package org.oleanderstep.core.model;
+
+/** Name of a member of a database group. */
+public record MemberId(String name) {
+
+  /** Checks that the name is not blank. */
+  public MemberId {
+    if (name.isBlank()) {
+      throw new IllegalArgumentException("the name of a member must not be blank");
+    }
+  }
+
+  @Override
+  public String toString() {
+    return name;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/oleanderstep/core/model/VmId.java
@@ -0,0 +1,17 @@
+package org.oleanderstep.core.model;
+
+/** Name of a VM of the fleet. */
+public record VmId(String name) {
+
+  /** Checks that the name is not blank. */
+  public VmId {
+    if (name.isBlank()) {
+      throw new IllegalArgumentException("the name of a VM must not be blank");
+    }
+  }
+
+  @Override
+  public String toString() {
+    return name;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/oleanderstep/core/model/package-info.java
@@ -0,0 +1,2 @@
+/** Identifiers and outcomes that all decisions share. */
+package org.oleanderstep.core.model;
--- /dev/null
+++ b/core/src/main/java/org/oleanderstep/core/routing/MemberView.java
@@ -0,0 +1,21 @@
+package org.oleanderstep.core.routing;
+
+import org.oleanderstep.core.model.MemberId;
+import org.oleanderstep.core.position.LogPosition;
+
+/**
+ * What a proxy knows of a member when it routes a statement.
+ *
+ * @param applied last applied position known within the member's present incarnation
+ * @param appliedPerSecond measured rate at which the member applies entries
+ * @param outstanding statements of this proxy that run on the member
+ * @param near whether the member is in the proxy's own failure domain
+ */
+public record MemberView(
+    MemberId member,
+    LogPosition applied,
+    double appliedPerSecond,
+    int outstanding,
+    boolean near,
+    boolean reachable,
+    boolean leaving) {}
