Declare the API of the consistency decisions

The adapters are written against failover, routing, position and idempotency at the same time, and so need the signatures first.

MemberView gains "joining", GroupView a history of primary positions for reads with a maximum age.

--- a/core/src/main/java/org/oleanderstep/core/failover/FailoverAction.java
+++ b/core/src/main/java/org/oleanderstep/core/failover/FailoverAction.java
@@ -13,4 +13,11 @@
 
   /** Reports that a higher term has a primary, for logs, routing and peers. */
   record PrimaryChanged(MemberId primary, long term) implements FailoverAction {}
+
+  /**
+   * Reports the end of a planned change of the primary.
+   *
+   * @param changed whether the requested member, or any other member if none was named, took over
+   */
+  record PlannedChangeFinished(boolean changed, String detail) implements FailoverAction {}
 }
--- /dev/null
+++ b/core/src/main/java/org/oleanderstep/core/idempotency/RecordedRequest.java
@@ -0,0 +1,42 @@
+package org.oleanderstep.core.idempotency;
+
+import java.nio.ByteBuffer;
+
+/**
+ * A row of the table {@code oleanderstep_requests}.
+ *
+ * @param answer the recorded answer in the adapter's encoding; empty for an abandoned request
+ */
+public record RecordedRequest(RequestFingerprint fingerprint, Result result, ByteBuffer answer) {
+
+  /** What the row says of its request. */
+  public enum Result {
+    /** The request ran and committed together with the row. */
+    COMPLETED,
+    /** The row was inserted to prevent the request from ever committing. */
+    ABANDONED
+  }
+
+  /** Copies the answer. */
+  public RecordedRequest {
+    ByteBuffer copy = ByteBuffer.allocate(answer.remaining());
+    copy.put(answer.duplicate()).flip();
+    answer = copy.asReadOnlyBuffer();
+  }
+
+  /** Returns a row of a request that committed. */
+  public static RecordedRequest completed(RequestFingerprint fingerprint, byte[] answer) {
+    return new RecordedRequest(fingerprint, Result.COMPLETED, ByteBuffer.wrap(answer));
+  }
+
+  /** Returns a row that prevents a request from committing. */
+  public static RecordedRequest abandoned(RequestFingerprint fingerprint) {
+    return new RecordedRequest(fingerprint, Result.ABANDONED, ByteBuffer.allocate(0));
+  }
+
+  /** Returns the answer as a read-only buffer with a position of its own. */
+  @Override
+  public ByteBuffer answer() {
+    return answer.asReadOnlyBuffer();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/oleanderstep/core/idempotency/RequestFailure.java
@@ -0,0 +1,25 @@
+package org.oleanderstep.core.idempotency;
+
+import org.oleanderstep.core.model.NotRunReason;
+
+/** Why a request ended without a complete answer. */
+public sealed interface RequestFailure {
+
+  /** The proxy itself gave up, for instance at the deadline, for lack of capacity or at a stop. */
+  record GivenUp(NotRunReason reason, String detail) implements RequestFailure {}
+
+  /** No connection to the member could be opened. */
+  record NotConnected(String detail) implements RequestFailure {}
+
+  /** The connection was lost, or the answer did not come in time. */
+  record ConnectionLost(String detail) implements RequestFailure {}
+
+  /** The member proved that it did not start the request and never will. */
+  record RefusedByTarget(NotRunReason reason, String detail) implements RequestFailure {}
+
+  /** The database answered with an error and has rolled the request back. */
+  record DatabaseError(String sqlState, int vendorCode, String message) implements RequestFailure {}
+
+  /** The target executed the request but could not make it durable, or does not know. */
+  record NotConfirmed(String detail) implements RequestFailure {}
+}
--- a/core/src/main/java/org/oleanderstep/core/routing/GroupView.java
+++ b/core/src/main/java/org/oleanderstep/core/routing/GroupView.java
@@ -10,12 +10,24 @@
  *
  * @param term highest term that was seen
  * @param primary primary of that term, empty while there is none
+ * @param history earlier positions of primaries, oldest first, for reads with a maximum age
  */
 public record GroupView(
-    DatabaseId database, long term, Optional<MemberId> primary, List<MemberView> members) {
+    DatabaseId database,
+    long term,
+    Optional<MemberId> primary,
+    List<MemberView> members,
+    List<PositionSample> history) {
 
-  /** Copies the list of members. */
+  /** Copies the lists. */
   public GroupView {
     members = List.copyOf(members);
+    history = List.copyOf(history);
+  }
+
+  /** Creates a view without history. */
+  public GroupView(
+      DatabaseId database, long term, Optional<MemberId> primary, List<MemberView> members) {
+    this(database, term, primary, members, List.of());
   }
 }
--- a/core/src/main/java/org/oleanderstep/core/routing/MemberView.java
+++ b/core/src/main/java/org/oleanderstep/core/routing/MemberView.java
@@ -10,6 +10,7 @@
  * @param appliedPerSecond measured rate at which the member applies entries
  * @param outstanding statements of this proxy that run on the member
  * @param near whether the member is in the proxy's own failure domain
+ * @param joining whether the member rebuilds its data and serves no statement
  */
 public record MemberView(
     MemberId member,
@@ -18,4 +19,5 @@
     int outstanding,
     boolean near,
     boolean reachable,
-    boolean leaving) {}
+    boolean leaving,
+    boolean joining) {}
