--- /dev/null
+++ b/load/src/main/java/org/oleanderstep/load/check/FinalState.java
@@ -0,0 +1,19 @@
+package org.oleanderstep.load.check;
+
+import java.util.Map;
+
+/**
+ * What the primary of one database holds after the run.
+ *
+ * @param orders number of rows for each order id
+ * @param counters value of each session's counter
+ * @param total sum over all accounts
+ */
+public record FinalState(Map<String, Integer> orders, Map<String, Long> counters, long total) {
+
+  /** Copies both maps. */
+  public FinalState {
+    orders = Map.copyOf(orders);
+    counters = Map.copyOf(counters);
+  }
+}
--- /dev/null
+++ b/load/src/main/java/org/oleanderstep/load/history/package-info.java
@@ -0,0 +1,2 @@
+/** Recording and reading of histories: one JSON line for each operation. */
+package org.oleanderstep.load.history;
