--- a/core/src/main/java/org/oleanderstep/core/failover/FailoverController.java
+++ b/core/src/main/java/org/oleanderstep/core/failover/FailoverController.java
@@ -1,12 +1,16 @@
 package org.oleanderstep.core.failover;
 
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
 import org.oleanderstep.core.model.DatabaseId;
 import org.oleanderstep.core.model.MemberId;
 import org.oleanderstep.core.model.VmId;
+import org.oleanderstep.core.position.LogPosition;
 
 /**
  * Decides, for one database in one proxy, when to claim a new term and which member to promote.
@@ -21,10 +25,53 @@
  * actions that the caller has to carry out, in order. Every fence and promotion is sent under the
  * name {@link #candidate()}. All times are nanoseconds of one {@link
  * org.oleanderstep.core.MonotonicClock}.
+ *
+ * <p>Whether the controller is right about a failure matters for availability only. What keeps a
+ * second primary from acknowledging are the promises of the members: a promotion is ordered only
+ * with promises of a majority, and goes to a member that holds the latest entry among them.
  */
-@SuppressWarnings("DoNotCallSuggester") // The bodies follow with the next commits.
 public final class FailoverController {
 
+  private static final int MAX_RANK = 4;
+  private static final int MAX_BACKOFF_DOUBLINGS = 10;
+
+  private final DatabaseId database;
+  private final VmId self;
+  private final String candidate;
+  private final RandomGenerator random;
+  private final Map<MemberId, MemberObservation> members = new LinkedHashMap<>();
+  private final long suspectAfterNanos;
+  private final long rankDelayNanos;
+  private final long attemptTimeoutNanos;
+  private final long resendAfterNanos;
+  private final long backoffBaseNanos;
+  private final long backoffLimitNanos;
+  private final long pauseLimitNanos;
+  private final long freshForNanos;
+
+  private int rank;
+  private boolean started;
+  private long lastCallNanos;
+  private Phase phase = Phase.WATCHING;
+
+  private long highestTerm;
+  private long highestTermSinceNanos;
+  private Optional<PrimaryView> known = Optional.empty();
+  private long primaryHeardNanos;
+  private Optional<Long> noMajoritySinceNanos = Optional.empty();
+
+  private long waitUntilNanos;
+  // Highest term at the start of a delay; a higher one means that another candidate was faster.
+  private long delayedAtTerm;
+  private int failedAttempts;
+  private long leavingRetryNanos;
+  private Attempt attempt;
+  private PlannedChange plannedChange;
+
+  /** A change of the primary that an operator or a leaving primary asked for. */
+  private record PlannedChange(
+      Optional<MemberId> to, LogPosition target, long deadlineNanos, MemberId from) {}
+
   /**
    * Creates a controller that has not heard from any member yet.
    *
@@ -39,39 +86,103 @@
       String instance,
       Collection<MemberId> members,
       RandomGenerator random) {
-    throw new UnsupportedOperationException("not implemented yet");
+    if (instance.isBlank()) {
+      throw new IllegalArgumentException("the instance must not be blank");
+    }
+    if (members.isEmpty()) {
+      throw new IllegalArgumentException("group " + database + " must have a member");
+    }
+    this.database = database;
+    this.self = self;
+    this.candidate = self.name() + "/" + instance;
+    this.random = random;
+    members.forEach(member -> this.members.put(member, new MemberObservation(member)));
+    this.suspectAfterNanos = settings.suspectAfter().toNanos();
+    this.rankDelayNanos = settings.rankDelay().toNanos();
+    this.attemptTimeoutNanos = settings.attemptTimeout().toNanos();
+    this.resendAfterNanos = settings.resendAfter().toNanos();
+    this.backoffBaseNanos = settings.backoffBase().toNanos();
+    this.backoffLimitNanos = settings.backoffLimit().toNanos();
+    this.pauseLimitNanos = settings.pauseLimit().toNanos();
+    this.freshForNanos = suspectAfterNanos / 2;
+    // Spreads the candidates until the peers are known.
+    this.rank = (int) Math.floorMod(RendezvousHash.weight(self, database), (long) MAX_RANK + 1);
   }
 
   /** Returns the name under which fences and promotions are ordered, unique for this process. */
   public String candidate() {
-    throw new UnsupportedOperationException("not implemented yet");
+    return candidate;
+  }
+
+  /** Takes the VMs of the proxies that are alive, for the rank of this one among them. */
+  public void onPeers(Collection<VmId> live) {
+    rank = Math.min(MAX_RANK, RendezvousHash.rank(self, live, database));
   }
 
   /** Takes the answer to a status request. */
   public List<FailoverAction> onStatus(MemberStatus status, long nowNanos) {
-    throw new UnsupportedOperationException("not implemented yet");
+    List<FailoverAction> actions = new ArrayList<>();
+    checkForPause(nowNanos, actions);
+    takeStatus(status, nowNanos, actions);
+    proceed(nowNanos, actions);
+    return actions;
   }
 
   /** Takes note that a status request failed or timed out. */
   public List<FailoverAction> onStatusFailure(MemberId member, long nowNanos) {
-    throw new UnsupportedOperationException("not implemented yet");
+    List<FailoverAction> actions = new ArrayList<>();
+    checkForPause(nowNanos, actions);
+    MemberObservation observation = members.get(member);
+    if (observation != null) {
+      observation.forget();
+    }
+    proceed(nowNanos, actions);
+    return actions;
   }
 
   /** Takes the reply to {@link FailoverAction.SendFence}; a lost reply needs no call. */
   public List<FailoverAction> onFenceReply(
       MemberId member, long term, boolean accepted, MemberStatus status, long nowNanos) {
-    throw new UnsupportedOperationException("not implemented yet");
+    List<FailoverAction> actions = new ArrayList<>();
+    checkForPause(nowNanos, actions);
+    takeStatus(status, nowNanos, actions);
+    boolean current = isFencing() && attempt.term == term && members.containsKey(member);
+    if (current && accepted && status.member().equals(member)) {
+      attempt.onPromise(status);
+    } else if (current && !accepted) {
+      attempt.onRefusal(member);
+    }
+    proceed(nowNanos, actions);
+    return actions;
   }
 
   /** Takes the reply to {@link FailoverAction.SendPromote}; a lost reply needs no call. */
   public List<FailoverAction> onPromoteReply(
       MemberId member, long term, boolean accepted, MemberStatus status, long nowNanos) {
-    throw new UnsupportedOperationException("not implemented yet");
+    List<FailoverAction> actions = new ArrayList<>();
+    checkForPause(nowNanos, actions);
+    takeStatus(status, nowNanos, actions);
+    boolean current =
+        phase == Phase.PROMOTING
+            && attempt.term == term
+            && attempt.chosen().equals(Optional.of(member));
+    if (current && accepted) {
+      learnPrimary(new PrimaryView(member, term), nowNanos, actions);
+      attempt = null;
+      phase = Phase.WATCHING;
+    } else if (current && !accepted) {
+      failAttempt("member " + member + " refused the promotion", nowNanos, actions);
+    }
+    proceed(nowNanos, actions);
+    return actions;
   }
 
   /** Lets time pass; call it about every 50 ms, also when nothing was received. */
   public List<FailoverAction> onTick(long nowNanos) {
-    throw new UnsupportedOperationException("not implemented yet");
+    List<FailoverAction> actions = new ArrayList<>();
+    checkForPause(nowNanos, actions);
+    proceed(nowNanos, actions);
+    return actions;
   }
 
   /**
@@ -80,30 +191,486 @@
    * <p>A hint: a higher term makes the present primary unusable until a member confirms it.
    */
   public List<FailoverAction> onPeerReport(long term, MemberId primary, long nowNanos) {
-    throw new UnsupportedOperationException("not implemented yet");
+    List<FailoverAction> actions = new ArrayList<>();
+    checkForPause(nowNanos, actions);
+    if (members.containsKey(primary)) {
+      raiseHighestTerm(term, nowNanos);
+    }
+    proceed(nowNanos, actions);
+    return actions;
   }
 
   /**
    * Starts a planned change of the primary.
    *
+   * <p>The end is reported by {@link FailoverAction.PlannedChangeFinished}, possibly at once.
+   *
    * @param to member that should become primary, or empty for the most advanced other member
    */
   public List<FailoverAction> requestPrimaryChange(Optional<MemberId> to, long nowNanos) {
-    throw new UnsupportedOperationException("not implemented yet");
+    List<FailoverAction> actions = new ArrayList<>();
+    checkForPause(nowNanos, actions);
+    Optional<String> obstacle = obstacleToChange(to, nowNanos);
+    if (obstacle.isPresent()) {
+      actions.add(new FailoverAction.PlannedChangeFinished(false, obstacle.get()));
+    } else if (to.isPresent() && known.get().member().equals(to.get())) {
+      actions.add(
+          new FailoverAction.PlannedChangeFinished(true, "member " + to.get() + " is primary"));
+    } else {
+      startPlannedChange(to, nowNanos);
+      proceed(nowNanos, actions);
+    }
+    return actions;
   }
 
   /** Returns the primary of the highest term seen, empty while none is usable. */
   public Optional<PrimaryView> primary() {
-    throw new UnsupportedOperationException("not implemented yet");
+    boolean claimedByUs = isFencing() || phase == Phase.PROMOTING;
+    boolean silent = known.isPresent() && isSilent(lastCallNanos);
+    return claimedByUs || silent || !isUnchallenged() ? Optional.empty() : known;
   }
 
   /** Returns the highest term seen in any status, reply or report. */
   public long highestTerm() {
-    throw new UnsupportedOperationException("not implemented yet");
+    return highestTerm;
   }
 
   /** Returns what the controller is doing. */
   public Phase phase() {
-    throw new UnsupportedOperationException("not implemented yet");
+    return phase;
+  }
+
+  // Observation of members.
+
+  private void checkForPause(long nowNanos, List<FailoverAction> actions) {
+    if (!started) {
+      started = true;
+      primaryHeardNanos = nowNanos;
+      highestTermSinceNanos = nowNanos;
+      leavingRetryNanos = nowNanos;
+    } else if (nowNanos - lastCallNanos > pauseLimitNanos) {
+      relearn(nowNanos, actions);
+    }
+    lastCallNanos = nowNanos;
+  }
+
+  /** Drops an attempt and all observations, since the members may have moved on meanwhile. */
+  private void relearn(long nowNanos, List<FailoverAction> actions) {
+    members.values().forEach(MemberObservation::forget);
+    primaryHeardNanos = nowNanos;
+    highestTermSinceNanos = nowNanos;
+    noMajoritySinceNanos = Optional.empty();
+    attempt = null;
+    endPlannedChange(false, "this proxy was paused", actions);
+    phase = Phase.RELEARNING;
+  }
+
+  private void takeStatus(MemberStatus status, long nowNanos, List<FailoverAction> actions) {
+    MemberObservation observation = members.get(status.member());
+    if (observation == null) {
+      return;
+    }
+    observation.take(status, nowNanos);
+    if (status.role() == MemberRole.PRIMARY) {
+      learnPrimary(new PrimaryView(status.member(), status.term()), nowNanos, actions);
+    } else if (status.primary().isPresent() && members.containsKey(status.primary().get())) {
+      learnPrimary(new PrimaryView(status.primary().get(), status.term()), nowNanos, actions);
+    }
+    raiseHighestTerm(Math.max(status.term(), status.promisedTerm()), nowNanos);
+    if (status.role() == MemberRole.PRIMARY && isKnownPrimary(status.member(), status.term())) {
+      hearPrimary(status, nowNanos);
+    }
+  }
+
+  private void hearPrimary(MemberStatus status, long nowNanos) {
+    primaryHeardNanos = nowNanos;
+    if (status.hasMajority()) {
+      noMajoritySinceNanos = Optional.empty();
+    } else if (noMajoritySinceNanos.isEmpty()) {
+      noMajoritySinceNanos = Optional.of(nowNanos);
+    }
+  }
+
+  private void learnPrimary(PrimaryView view, long nowNanos, List<FailoverAction> actions) {
+    raiseHighestTerm(view.term(), nowNanos);
+    if (known.isPresent() && known.get().term() >= view.term()) {
+      return;
+    }
+    known = Optional.of(view);
+    primaryHeardNanos = nowNanos;
+    noMajoritySinceNanos = Optional.empty();
+    actions.add(new FailoverAction.PrimaryChanged(view.member(), view.term()));
+    if (view.term() >= highestTerm) {
+      settle(view.member(), actions);
+    }
+  }
+
+  /** Ends whatever was under way, because the highest term has a primary. */
+  private void settle(MemberId primary, List<FailoverAction> actions) {
+    if (plannedChange != null) {
+      boolean wanted =
+          plannedChange.to().map(primary::equals).orElse(!primary.equals(plannedChange.from()));
+      endPlannedChange(wanted, "member " + primary + " is primary", actions);
+    }
+    attempt = null;
+    failedAttempts = 0;
+    if (phase != Phase.RELEARNING) {
+      phase = Phase.WATCHING;
+    }
+  }
+
+  private void raiseHighestTerm(long term, long nowNanos) {
+    if (term > highestTerm) {
+      highestTerm = term;
+      highestTermSinceNanos = nowNanos;
+    }
+  }
+
+  private boolean isKnownPrimary(MemberId member, long term) {
+    return known.equals(Optional.of(new PrimaryView(member, term)));
+  }
+
+  /** Returns whether no higher term than the primary's was promised to a candidate or reported. */
+  private boolean isUnchallenged() {
+    return known.isPresent() && known.get().term() == highestTerm;
+  }
+
+  // Suspicion.
+
+  private boolean isSilent(long nowNanos) {
+    return nowNanos - primaryHeardNanos >= suspectAfterNanos;
+  }
+
+  private int majority() {
+    return members.size() / 2 + 1;
+  }
+
+  /** Returns whether a claim could succeed as far as the last answers tell. */
+  private boolean hearsMajority(long nowNanos) {
+    long answering =
+        members.values().stream()
+            .flatMap(member -> member.fresh(nowNanos, freshForNanos).stream())
+            .filter(status -> status.role() != MemberRole.JOINING)
+            .count();
+    return answering >= majority();
+  }
+
+  private boolean needsClaim(long nowNanos) {
+    return hearsMajority(nowNanos)
+        && (isPrimaryDead(nowNanos)
+            || hasPrimaryLostMajority(nowNanos)
+            || isTermUnclaimed(nowNanos)
+            || mustLeavingPrimaryBeReplaced(nowNanos));
+  }
+
+  private boolean isPrimaryDead(long nowNanos) {
+    return known.isPresent() && isSilent(nowNanos) && silentMembers(nowNanos) >= majority();
+  }
+
+  /** Counts the members that have not heard from the primary; the silent primary is one. */
+  private long silentMembers(long nowNanos) {
+    return members.values().stream().filter(member -> isSilentFor(member, nowNanos)).count();
+  }
+
+  private boolean isSilentFor(MemberObservation member, long nowNanos) {
+    if (member.id().equals(known.get().member())) {
+      return isSilent(nowNanos);
+    }
+    return member
+        .fresh(nowNanos, freshForNanos)
+        .filter(status -> status.primarySilence().toNanos() >= suspectAfterNanos)
+        .isPresent();
+  }
+
+  /** A primary that answers this proxy but lost its replicas acknowledges nothing any more. */
+  private boolean hasPrimaryLostMajority(long nowNanos) {
+    if (known.isEmpty() || noMajoritySinceNanos.isEmpty()) {
+      return false;
+    }
+    return silentMembers(nowNanos) >= majority()
+        || nowNanos - noMajoritySinceNanos.get() >= suspectAfterNanos;
+  }
+
+  /** The candidate of the highest term, if any, has had its time and left no primary. */
+  private boolean isTermUnclaimed(long nowNanos) {
+    if (isUnchallenged()) {
+      return false;
+    }
+    boolean primaryWorks =
+        known
+            .flatMap(view -> members.get(view.member()).fresh(nowNanos, freshForNanos))
+            .filter(status -> status.role() == MemberRole.PRIMARY)
+            .filter(status -> status.hasMajority() && status.promisedTerm() <= status.term())
+            .isPresent();
+    boolean followed =
+        members.values().stream()
+            .flatMap(member -> member.fresh(nowNanos, freshForNanos).stream())
+            .anyMatch(this::followsPrimaryOfHighestTerm);
+    if (followed) {
+      return false;
+    }
+    boolean newGroup = highestTerm == 0;
+    long patience = primaryWorks || newGroup ? suspectAfterNanos : attemptTimeoutNanos;
+    return nowNanos - highestTermSinceNanos >= patience;
+  }
+
+  private boolean followsPrimaryOfHighestTerm(MemberStatus status) {
+    return status.role() == MemberRole.REPLICA
+        && status.term() == highestTerm
+        && highestTerm > 0
+        && status.primarySilence().toNanos() < attemptTimeoutNanos;
+  }
+
+  private boolean mustLeavingPrimaryBeReplaced(long nowNanos) {
+    return isUnchallenged()
+        && nowNanos - leavingRetryNanos >= 0
+        && isLeaving(known.get().member(), nowNanos)
+        && members.keySet().stream().anyMatch(member -> canTakeOver(member, nowNanos));
+  }
+
+  private boolean isLeaving(MemberId member, long nowNanos) {
+    return members
+        .get(member)
+        .fresh(nowNanos, freshForNanos)
+        .filter(MemberStatus::leaving)
+        .isPresent();
+  }
+
+  private boolean canTakeOver(MemberId member, long nowNanos) {
+    return members
+        .get(member)
+        .fresh(nowNanos, freshForNanos)
+        .filter(status -> status.role() == MemberRole.REPLICA && !status.leaving())
+        .isPresent();
+  }
+
+  // Steps of a change.
+
+  private void proceed(long nowNanos, List<FailoverAction> actions) {
+    switch (phase) {
+      case WATCHING -> watch(nowNanos);
+      case DELAYING -> endDelay(nowNanos, actions);
+      case FENCING, CATCHING_UP -> fence(nowNanos, actions);
+      case PROMOTING -> promote(nowNanos, actions);
+      case BACKING_OFF -> endBackoff(nowNanos, actions);
+      case RELEARNING -> endRelearning(nowNanos);
+    }
+  }
+
+  private void endRelearning(long nowNanos) {
+    if (hearsMajority(nowNanos)) {
+      phase = Phase.WATCHING;
+    }
+  }
+
+  private void watch(long nowNanos) {
+    if (needsClaim(nowNanos)) {
+      phase = Phase.DELAYING;
+      long jitter = random.nextLong(rankDelayNanos / 2 + 1);
+      waitUntilNanos = nowNanos + rank * rankDelayNanos + jitter;
+      delayedAtTerm = highestTerm;
+    }
+  }
+
+  private void endDelay(long nowNanos, List<FailoverAction> actions) {
+    boolean otherCandidate = highestTerm != delayedAtTerm;
+    if (otherCandidate || !needsClaim(nowNanos)) {
+      phase = Phase.WATCHING;
+    } else if (nowNanos - waitUntilNanos >= 0) {
+      startClaim(nowNanos, actions);
+    }
+  }
+
+  private void startClaim(long nowNanos, List<FailoverAction> actions) {
+    boolean onlyLeaving =
+        mustLeavingPrimaryBeReplaced(nowNanos)
+            && !isPrimaryDead(nowNanos)
+            && !hasPrimaryLostMajority(nowNanos);
+    if (onlyLeaving) {
+      leavingRetryNanos = nowNanos + 4 * suspectAfterNanos;
+      startPlannedChange(Optional.empty(), nowNanos);
+      proceed(nowNanos, actions);
+    } else {
+      claim(nowNanos, actions);
+    }
+  }
+
+  private void claim(long nowNanos, List<FailoverAction> actions) {
+    raiseHighestTerm(highestTerm + 1, nowNanos);
+    attempt = new Attempt(highestTerm, nowNanos, members.size());
+    phase = Phase.FENCING;
+    fence(nowNanos, actions);
+  }
+
+  private boolean isFencing() {
+    return attempt != null && (phase == Phase.FENCING || phase == Phase.CATCHING_UP);
+  }
+
+  private void fence(long nowNanos, List<FailoverAction> actions) {
+    if (attempt == null) {
+      awaitTarget(nowNanos, actions);
+      return;
+    }
+    if (attempt.cannotWin()) {
+      failAttempt("a majority has promised another term", nowNanos, actions);
+      return;
+    }
+    if (attempt.hasMajority() && mayChoose(nowNanos)) {
+      choose(nowNanos, actions);
+      return;
+    }
+    if (nowNanos - attempt.startedNanos >= attemptTimeoutNanos) {
+      failAttempt("no majority promised term " + attempt.term, nowNanos, actions);
+      return;
+    }
+    phase = attempt.hasMajority() ? Phase.CATCHING_UP : Phase.FENCING;
+    sendFences(nowNanos, actions);
+  }
+
+  private void sendFences(long nowNanos, List<FailoverAction> actions) {
+    for (MemberId member : members.keySet()) {
+      // A requested member that lags is asked again for its position.
+      boolean done =
+          attempt.hasRefusalOf(member) || (attempt.hasPromiseOf(member) && !isRequested(member));
+      boolean send = !done && mayFenceNow(member, nowNanos);
+      if (send && attempt.maySend(member, nowNanos, resendAfterNanos)) {
+        actions.add(new FailoverAction.SendFence(member, attempt.term));
+      }
+    }
+  }
+
+  /** In a planned change the old primary stops first, so that its replicas have what it sent. */
+  private boolean mayFenceNow(MemberId member, long nowNanos) {
+    if (plannedChange == null || member.equals(plannedChange.from())) {
+      return true;
+    }
+    return attempt.hasPromiseOf(plannedChange.from())
+        || nowNanos - attempt.startedNanos >= resendAfterNanos;
+  }
+
+  private boolean isRequested(MemberId member) {
+    return plannedChange != null && plannedChange.to().equals(Optional.of(member));
+  }
+
+  /** Returns whether further promises could not lead to a better choice, or took too long. */
+  private boolean mayChoose(long nowNanos) {
+    if (nowNanos - attempt.startedNanos >= attemptTimeoutNanos / 2) {
+      return true;
+    }
+    Optional<MemberId> requested = plannedChange == null ? Optional.empty() : plannedChange.to();
+    return requested
+        .map(attempt::mayBecomePrimary)
+        .orElseGet(() -> !avoided().equals(Optional.of(attempt.best(preferred(), avoided()))));
+  }
+
+  /** A primary that still works keeps its role, unless its change is planned. */
+  private boolean keepsPrimary() {
+    return plannedChange == null
+        && known.isPresent()
+        && !isSilent(lastCallNanos)
+        && noMajoritySinceNanos.isEmpty();
+  }
+
+  private Optional<MemberId> avoided() {
+    return keepsPrimary() ? Optional.empty() : known.map(PrimaryView::member);
+  }
+
+  private Optional<MemberId> preferred() {
+    if (plannedChange != null) {
+      return plannedChange.to();
+    }
+    return keepsPrimary() ? known.map(PrimaryView::member) : Optional.empty();
+  }
+
+  private void choose(long nowNanos, List<FailoverAction> actions) {
+    attempt.choose(attempt.best(preferred(), avoided()));
+    phase = Phase.PROMOTING;
+    waitUntilNanos = nowNanos + attemptTimeoutNanos;
+    promote(nowNanos, actions);
+  }
+
+  private void promote(long nowNanos, List<FailoverAction> actions) {
+    MemberId chosen = attempt.chosen().orElseThrow();
+    if (nowNanos - waitUntilNanos >= 0) {
+      failAttempt("member " + chosen + " did not answer the promotion", nowNanos, actions);
+    } else if (attempt.maySend(chosen, nowNanos, resendAfterNanos)) {
+      actions.add(new FailoverAction.SendPromote(chosen, attempt.term));
+    }
+  }
+
+  private void failAttempt(String reason, long nowNanos, List<FailoverAction> actions) {
+    endPlannedChange(false, reason, actions);
+    attempt = null;
+    int doublings = Math.min(failedAttempts, MAX_BACKOFF_DOUBLINGS);
+    long longest = Math.min(backoffLimitNanos, backoffBaseNanos << doublings);
+    failedAttempts++;
+    waitUntilNanos = nowNanos + longest / 2 + random.nextLong(longest / 2 + 1);
+    delayedAtTerm = highestTerm;
+    phase = Phase.BACKING_OFF;
+  }
+
+  private void endBackoff(long nowNanos, List<FailoverAction> actions) {
+    if (highestTerm != delayedAtTerm) {
+      // Another candidate has claimed a higher term and gets the time of an attempt.
+      phase = Phase.WATCHING;
+    } else if (nowNanos - waitUntilNanos >= 0 && hearsMajority(nowNanos)) {
+      claim(nowNanos, actions);
+    }
+  }
+
+  // Planned changes.
+
+  private Optional<String> obstacleToChange(Optional<MemberId> to, long nowNanos) {
+    if (phase != Phase.WATCHING && phase != Phase.DELAYING) {
+      return Optional.of("another change is under way");
+    }
+    if (!isUnchallenged() || isSilent(nowNanos)) {
+      return Optional.of("the group has no working primary");
+    }
+    if (to.isPresent() && !members.containsKey(to.get())) {
+      return Optional.of("member " + to.get() + " is not in the group");
+    }
+    boolean possible =
+        to.isEmpty()
+            ? members.keySet().stream().anyMatch(member -> canTakeOver(member, nowNanos))
+            : known.get().member().equals(to.get()) || canTakeOver(to.get(), nowNanos);
+    return possible
+        ? Optional.empty()
+        : Optional.of("no member can take over; it must answer, be a replica and not be leaving");
+  }
+
+  private void startPlannedChange(Optional<MemberId> to, long nowNanos) {
+    MemberId from = known.get().member();
+    LogPosition target =
+        members
+            .get(from)
+            .fresh(nowNanos, freshForNanos)
+            .map(MemberStatus::received)
+            .orElse(LogPosition.START);
+    plannedChange = new PlannedChange(to, target, nowNanos + attemptTimeoutNanos, from);
+    phase = Phase.CATCHING_UP;
+  }
+
+  /** Waits, before anything is fenced, until a successor has what the primary had at the start. */
+  private void awaitTarget(long nowNanos, List<FailoverAction> actions) {
+    boolean caughtUp =
+        members.values().stream()
+            .filter(member -> plannedChange.to().map(member.id()::equals).orElse(true))
+            .filter(member -> canTakeOver(member.id(), nowNanos))
+            .flatMap(member -> member.fresh(nowNanos, freshForNanos).stream())
+            .anyMatch(status -> status.received().compareTo(plannedChange.target()) >= 0);
+    if (caughtUp) {
+      claim(nowNanos, actions);
+    } else if (nowNanos - plannedChange.deadlineNanos() >= 0) {
+      endPlannedChange(false, "the successor did not catch up in time", actions);
+      phase = Phase.WATCHING;
+    }
+  }
+
+  private void endPlannedChange(boolean changed, String detail, List<FailoverAction> actions) {
+    if (plannedChange != null) {
+      plannedChange = null;
+      actions.add(new FailoverAction.PlannedChangeFinished(changed, detail));
+    }
   }
 }
--- /dev/null
+++ b/core/src/main/java/org/oleanderstep/core/failover/MemberObservation.java
@@ -0,0 +1,35 @@
+package org.oleanderstep.core.failover;
+
+import java.util.Optional;
+import org.oleanderstep.core.model.MemberId;
+
+/** The last status of one member and when it was received. */
+final class MemberObservation {
+
+  private final MemberId id;
+  private MemberStatus status;
+  private long receivedNanos;
+
+  MemberObservation(MemberId id) {
+    this.id = id;
+  }
+
+  MemberId id() {
+    return id;
+  }
+
+  void take(MemberStatus newStatus, long nowNanos) {
+    status = newStatus;
+    receivedNanos = nowNanos;
+  }
+
+  void forget() {
+    status = null;
+  }
+
+  /** Returns the last status unless it is older than the limit. */
+  Optional<MemberStatus> fresh(long nowNanos, long limitNanos) {
+    boolean isFresh = status != null && nowNanos - receivedNanos <= limitNanos;
+    return isFresh ? Optional.of(status) : Optional.empty();
+  }
+}
--- a/core/src/main/java/org/oleanderstep/core/idempotency/RequestFailure.java
+++ b/core/src/main/java/org/oleanderstep/core/idempotency/RequestFailure.java
@@ -17,8 +17,18 @@
   /** The member proved that it did not start the request and never will. */
   record RefusedByTarget(NotRunReason reason, String detail) implements RequestFailure {}
 
-  /** The database answered with an error and has rolled the request back. */
-  record DatabaseError(String sqlState, int vendorCode, String message) implements RequestFailure {}
+  /**
+   * The database answered with an error and has rolled the request back.
+   *
+   * @param sqlState empty if the driver gave none
+   */
+  record DatabaseError(String sqlState, int vendorCode, String message) implements RequestFailure {
+
+    /** Returns whether the SQLSTATE says that the connection or the result was lost. */
+    public boolean leavesOutcomeOpen() {
+      return sqlState.startsWith("08") || sqlState.equals("40003") || sqlState.isEmpty();
+    }
+  }
 
   /** The target executed the request but could not make it durable, or does not know. */
   record NotConfirmed(String detail) implements RequestFailure {}
--- a/core/src/main/java/org/oleanderstep/core/idempotency/RequestFingerprint.java
+++ b/core/src/main/java/org/oleanderstep/core/idempotency/RequestFingerprint.java
@@ -1,5 +1,10 @@
 package org.oleanderstep.core.idempotency;
 
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
 import java.util.List;
 
 /**
@@ -7,15 +12,45 @@
  *
  * @param hex SHA-256 in 64 lower-case hexadecimal digits
  */
-@SuppressWarnings("DoNotCallSuggester") // The bodies follow with the next commits.
 public record RequestFingerprint(String hex) {
 
+  private static final int DIGITS = 64;
+
+  /** Checks the number of digits. */
+  public RequestFingerprint {
+    if (hex.length() != DIGITS) {
+      throw new IllegalArgumentException("expected 64 hexadecimal digits but got " + hex.length());
+    }
+  }
+
   /**
    * Returns the fingerprint of a statement with its parameters.
    *
    * @param parameters the parameters in order, in any stable encoding; null stands for SQL NULL
    */
   public static RequestFingerprint of(String statement, List<byte[]> parameters) {
-    throw new UnsupportedOperationException("not implemented yet");
+    MessageDigest digest = newDigest();
+    update(digest, statement.getBytes(StandardCharsets.UTF_8));
+    for (byte[] parameter : parameters) {
+      update(digest, parameter);
+    }
+    return new RequestFingerprint(HexFormat.of().formatHex(digest.digest()));
+  }
+
+  // Lengths keep ("ab", "c") apart from ("a", "bc"); -1 keeps NULL apart from the empty value.
+  private static void update(MessageDigest digest, byte[] part) {
+    int length = part == null ? -1 : part.length;
+    digest.update(ByteBuffer.allocate(Integer.BYTES).putInt(length).flip());
+    if (part != null) {
+      digest.update(part);
+    }
+  }
+
+  private static MessageDigest newDigest() {
+    try {
+      return MessageDigest.getInstance("SHA-256");
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException("every Java platform has SHA-256", e);
+    }
   }
 }
--- a/core/src/main/java/org/oleanderstep/core/idempotency/RequestProgress.java
+++ b/core/src/main/java/org/oleanderstep/core/idempotency/RequestProgress.java
@@ -14,29 +14,45 @@
  *
  * <p>Confined to the thread that serves the request.
  */
-@SuppressWarnings("DoNotCallSuggester") // The bodies follow with the next commits.
 public final class RequestProgress {
 
-  /** Creates the progress of a request that was just received. */
-  public RequestProgress() {}
+  private RequestStage stage = RequestStage.RECEIVED;
+  private boolean earlierAttemptOpen;
 
   /** Takes note that the present attempt has reached a stage. */
-  public void reach(RequestStage stage) {
-    throw new UnsupportedOperationException("not implemented yet");
+  public void reach(RequestStage next) {
+    if (next.compareTo(stage) < 0) {
+      throw new IllegalStateException("a request at " + stage + " cannot return to " + next);
+    }
+    stage = next;
   }
 
   /** Returns the stage of the present attempt. */
   public RequestStage stage() {
-    throw new UnsupportedOperationException("not implemented yet");
+    return stage;
   }
 
   /** Ends the present attempt and returns what may be told of the request as a whole. */
   public Outcome fail(RequestFailure failure) {
-    throw new UnsupportedOperationException("not implemented yet");
+    Outcome outcome = stage.outcome(failure);
+    if (earlierAttemptOpen) {
+      // An error or a refusal of this attempt says nothing about the earlier one.
+      return new Outcome.Unknown("an earlier attempt may have run");
+    }
+    earlierAttemptOpen = outcome instanceof Outcome.Unknown;
+    return outcome;
   }
 
   /** Starts another attempt. */
   public void startRetry() {
-    throw new UnsupportedOperationException("not implemented yet");
+    stage = RequestStage.RECEIVED;
+  }
+
+  /**
+   * Takes note that earlier attempts can never commit, because their request id was abandoned in a
+   * committed transaction.
+   */
+  public void abandonEarlierAttempts() {
+    earlierAttemptOpen = false;
   }
 }
