--- /dev/null
+++ b/core/src/main/java/org/oleanderstep/core/configuration/KeyStatus.java
@@ -0,0 +1,27 @@
+package org.oleanderstep.core.configuration;
+
+/** Result of the verification of a key. */
+public enum KeyStatus {
+  ACCEPTED(true, "the key is accepted"),
+  UNKNOWN(false, "no key has this id"),
+  WRONG(false, "the secret does not belong to the key"),
+  WITHDRAWN(false, "the key is withdrawn");
+
+  private final boolean accepted;
+  private final String description;
+
+  KeyStatus(boolean accepted, String description) {
+    this.accepted = accepted;
+    this.description = description;
+  }
+
+  /** Returns whether a call with the key may run. */
+  public boolean accepts() {
+    return accepted;
+  }
+
+  /** Returns the reason for logs; callers get one message for all refusals. */
+  public String description() {
+    return description;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/oleanderstep/core/membership/TrustDecision.java
@@ -0,0 +1,18 @@
+package org.oleanderstep.core.membership;
+
+/** A decision of {@link TrustPolicy} with its reason. */
+public record TrustDecision(Trust trust, TrustReason reason) {
+
+  static TrustDecision trusted(TrustReason reason) {
+    return new TrustDecision(Trust.TRUSTED, reason);
+  }
+
+  static TrustDecision untrusted(TrustReason reason) {
+    return new TrustDecision(Trust.UNTRUSTED, reason);
+  }
+
+  /** Returns whether the proxy may serve. */
+  public boolean isTrusted() {
+    return trust == Trust.TRUSTED;
+  }
+}
