--- a/core/src/main/java/org/oleanderstep/core/membership/PeerTable.java
+++ b/core/src/main/java/org/oleanderstep/core/membership/PeerTable.java
@@ -1,57 +1,218 @@
 package org.oleanderstep.core.membership;
 
+import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.ToLongFunction;
 import org.oleanderstep.core.model.VmId;
 
 /**
  * What a proxy knows of all proxies.
  *
  * <pre>{@code
- * PeerDigest reply = table.exchange(digest, selfState, now);
+ * // caller                                         // called peer
+ * long sentAt = now;
+ * PeerDigest reply = peer.exchange(table.digest(now)); // table.onRequest(digest, now)
+ * table.onReply(reply, sentAt, now);
  * }</pre>
  *
+ * <p>Only replies count as evidence that a peer runs and what it knows: a reply was made after its
+ * request was sent, whereas a request may have waited in a socket buffer while this process was
+ * paused. All ages are therefore upper bounds.
+ *
  * <p>Owned by the control thread. All times are nanoseconds of a {@link
  * org.oleanderstep.core.MonotonicClock}.
  */
-// The bodies follow in the next commits.
-@SuppressWarnings("DoNotCallSuggester")
 public final class PeerTable {
 
+  private static final Comparator<VmId> BY_NAME = Comparator.comparing(VmId::name);
+
+  private final PeerIdentity self;
+  private final MembershipSettings settings;
+  private final Map<VmId, Entry> entries = new TreeMap<>(BY_NAME);
+  private SelfState selfState = SelfState.STARTING;
+  private long sequence;
+  private Optional<VmList> vmList = Optional.empty();
+  private Optional<PeerState> requestHint = Optional.empty();
+  private Optional<Long> platformContactAt = Optional.empty();
+  private Optional<Long> majorityContactAt = Optional.empty();
+
+  /** A state and the earliest time at which it can have been made. */
+  private static final class Entry {
+    private PeerState state;
+    private long madeAt;
+
+    Entry(PeerState state, long madeAt) {
+      this.state = state;
+      this.madeAt = madeAt;
+    }
+  }
+
   /** Creates the table of a process that has just started. */
   public PeerTable(PeerIdentity self, MembershipSettings settings) {
-    throw new UnsupportedOperationException(self + " " + settings);
+    this.self = Objects.requireNonNull(self, "self");
+    this.settings = Objects.requireNonNull(settings, "settings");
   }
 
   /** Returns the identity of this process. */
   public PeerIdentity self() {
-    throw new UnsupportedOperationException();
+    return self;
   }
 
   /** Replaces the state of this process; call it before each digest. */
   public void updateSelf(SelfState state) {
-    throw new UnsupportedOperationException(state.toString());
+    selfState = state;
   }
 
   /** Returns the digest to send now. */
   public PeerDigest digest(long now) {
-    throw new UnsupportedOperationException("" + now);
+    sequence++;
+    PeerState sender =
+        new PeerState(
+            self.vm(),
+            self.instance(),
+            sequence,
+            self.failureDomain(),
+            self.peerAddress(),
+            self.callerAddress(),
+            selfState.configurationGeneration(),
+            selfState.sharesVersion(),
+            ageOf(platformContactAt, now),
+            Duration.ZERO,
+            selfState.ready(),
+            selfState.leaving(),
+            selfState.tokens());
+    return new PeerDigest(sender, peers(now));
+  }
+
+  /** Takes over unknown peers of a request, and returns the reply. */
+  public PeerDigest onRequest(PeerDigest digest, long now) {
+    long unproved = now - settings.suspectAfter().toNanos() - 1;
+    introduce(digest.sender(), unproved);
+    digest.known().forEach(state -> introduce(state, unproved));
+    if (digest.sender().configurationGeneration() > selfState.configurationGeneration()) {
+      requestHint = Optional.of(digest.sender());
+    }
+    return digest(now);
+  }
+
+  private void introduce(PeerState state, long madeAt) {
+    if (!isSelf(state.vm())) {
+      entries.putIfAbsent(state.vm(), new Entry(state, madeAt));
+    }
+  }
+
+  /**
+   * Takes over what is newer in a reply.
+   *
+   * @param requestSentAt when the request was sent that the reply answers
+   */
+  public void onReply(PeerDigest digest, long requestSentAt, long now) {
+    merge(digest.sender(), requestSentAt);
+    digest.known().forEach(state -> merge(state, requestSentAt));
+    notePlatformContact(digest.sender(), requestSentAt);
+    noteMajorityContact(now);
+    forget(now);
+  }
+
+  private void merge(PeerState state, long receivedAt) {
+    if (isSelf(state.vm())) {
+      return;
+    }
+    long madeAt = receivedAt - state.age().toNanos();
+    Entry entry = entries.get(state.vm());
+    if (entry == null) {
+      entries.put(state.vm(), new Entry(state, madeAt));
+    } else if (entry.state.instance().equals(state.instance())) {
+      mergeSameInstance(entry, state, madeAt);
+    } else if (madeAt - entry.madeAt > 0) {
+      entry.state = state;
+      entry.madeAt = madeAt;
+    }
   }
 
-  /** Takes over what is newer in a digest that a peer sent. */
-  public void merge(PeerDigest digest, long now) {
-    throw new UnsupportedOperationException(digest + " " + now);
+  private static void mergeSameInstance(Entry entry, PeerState state, long madeAt) {
+    if (state.sequence() > entry.state.sequence()) {
+      entry.state = state;
+    }
+    entry.madeAt = later(entry.madeAt, madeAt);
+  }
+
+  private void notePlatformContact(PeerState sender, long receivedAt) {
+    if (sender.configurationGeneration() > selfState.configurationGeneration()) {
+      return;
+    }
+    sender
+        .platformContactAge()
+        .ifPresent(
+            age -> platformContactAt = latest(platformContactAt, receivedAt - age.toNanos()));
+  }
+
+  private void noteMajorityContact(long now) {
+    Set<VmId> fleet = fleet();
+    int majority = fleet.size() / 2 + 1;
+    List<Long> contacts = new ArrayList<>();
+    if (fleet.contains(self.vm())) {
+      contacts.add(now);
+    }
+    for (VmId vm : fleet) {
+      Entry entry = entries.get(vm);
+      if (entry != null && !isAhead(entry.state)) {
+        contacts.add(entry.madeAt);
+      }
+    }
+    if (contacts.size() >= majority) {
+      contacts.sort(Comparator.<Long>comparingLong(time -> time - now).reversed());
+      majorityContactAt = latest(majorityContactAt, contacts.get(majority - 1));
+    }
+  }
+
+  private boolean isAhead(PeerState state) {
+    return state.configurationGeneration() > selfState.configurationGeneration();
+  }
+
+  // A process that starts during an outage of the platform has no list. It then counts all peers
+  // that the others know, suspect ones included, so that a small partition is no majority.
+  private Set<VmId> fleet() {
+    Set<VmId> fleet = new HashSet<>();
+    if (vmList.isPresent()) {
+      fleet.addAll(vmList.get().live());
+      fleet.addAll(vmList.get().leaving());
+    } else if (!entries.isEmpty()) {
+      fleet.addAll(entries.keySet());
+      fleet.add(self.vm());
+    }
+    return fleet;
+  }
+
+  private void forget(long now) {
+    long limit = settings.forgetAfter().toNanos();
+    vmList.ifPresent(
+        list ->
+            entries
+                .entrySet()
+                .removeIf(
+                    entry -> !list.has(entry.getKey()) && now - entry.getValue().madeAt > limit));
   }
 
   /** Takes over a newer list of the platform. */
   public void onVmList(VmList list) {
-    throw new UnsupportedOperationException(list.toString());
+    if (vmList.isEmpty() || list.version() > vmList.get().version()) {
+      vmList = Optional.of(list);
+    }
   }
 
   /** Returns the last list of the platform. */
   public Optional<VmList> vmList() {
-    throw new UnsupportedOperationException();
+    return vmList;
   }
 
   /**
@@ -61,36 +222,83 @@
    *     change that the platform accepted while the answer travelled
    */
   public void onPlatformContact(long asOf) {
-    throw new UnsupportedOperationException("" + asOf);
+    platformContactAt = latest(platformContactAt, asOf);
   }
 
   /** Returns the states of all other peers, with their age now. */
   public List<PeerState> peers(long now) {
-    throw new UnsupportedOperationException("" + now);
+    List<PeerState> states = new ArrayList<>();
+    for (Entry entry : entries.values()) {
+      states.add(entry.state.withAge(ageAt(entry, now)));
+    }
+    return states;
   }
 
   /** Returns the states of the peers that are not suspect. */
   public List<PeerState> live(long now) {
-    throw new UnsupportedOperationException("" + now);
+    return peers(now).stream()
+        .filter(state -> state.age().compareTo(settings.suspectAfter()) <= 0)
+        .toList();
   }
 
-  /** Returns the live peer with the highest generation above the own one, to pull it from. */
+  /** Returns the peer with the highest generation above the own one, to pull it from. */
   public Optional<PeerState> newestConfiguration(long now) {
-    throw new UnsupportedOperationException("" + now);
+    Optional<PeerState> newest =
+        newest(now, PeerState::configurationGeneration, selfState.configurationGeneration());
+    return newest.isPresent() ? newest : requestHint.filter(this::isAhead);
   }
 
   /** Returns the live peer with the highest share table above the own one, to pull it from. */
   public Optional<PeerState> newestShares(long now) {
-    throw new UnsupportedOperationException("" + now);
+    return newest(now, PeerState::sharesVersion, selfState.sharesVersion());
   }
 
-  /** Returns whether each of the VMs reports at least a generation. */
+  private Optional<PeerState> newest(long now, ToLongFunction<PeerState> version, long held) {
+    return live(now).stream()
+        .filter(state -> version.applyAsLong(state) > held)
+        .max(Comparator.comparingLong(version));
+  }
+
+  /** Returns whether each of the VMs reported at least a generation. */
   public boolean allReport(Collection<VmId> vms, long generation) {
-    throw new UnsupportedOperationException(vms + " " + generation);
+    return vms.stream().allMatch(vm -> generationOf(vm) >= generation);
+  }
+
+  private long generationOf(VmId vm) {
+    if (isSelf(vm)) {
+      return selfState.configurationGeneration();
+    }
+    Entry entry = entries.get(vm);
+    return entry == null ? 0 : entry.state.configurationGeneration();
   }
 
   /** Returns what {@link TrustPolicy} needs. */
   public TrustInputs trustInputs(long now) {
-    throw new UnsupportedOperationException("" + now);
+    return new TrustInputs(ageOf(platformContactAt, now), ageOf(majorityContactAt, now));
+  }
+
+  @Override
+  public String toString() {
+    return "peers of " + self.vm() + ": " + entries.keySet();
+  }
+
+  private boolean isSelf(VmId vm) {
+    return vm.equals(self.vm());
+  }
+
+  private static Duration ageAt(Entry entry, long now) {
+    return Duration.ofNanos(Math.max(0, now - entry.madeAt));
+  }
+
+  private static Optional<Duration> ageOf(Optional<Long> time, long now) {
+    return time.map(at -> Duration.ofNanos(Math.max(0, now - at)));
+  }
+
+  private static Optional<Long> latest(Optional<Long> held, long time) {
+    return Optional.of(held.isPresent() ? later(held.get(), time) : time);
+  }
+
+  private static long later(long a, long b) {
+    return a - b > 0 ? a : b;
   }
 }
--- /dev/null
+++ b/core/src/main/java/org/oleanderstep/core/membership/RendezvousHash.java
@@ -0,0 +1,43 @@
+package org.oleanderstep.core.membership;
+
+import java.nio.charset.StandardCharsets;
+
+/**
+ * Highest-random-weight hashing: all processes rank the same candidates for a key in the same
+ * order, and removing a candidate changes no other candidate's rank relative to the rest.
+ *
+ * <pre>{@code
+ * long weight = RendezvousHash.weight("domain-a", vm.name());
+ * }</pre>
+ */
+public final class RendezvousHash {
+
+  private static final long FNV_OFFSET = 0xcbf29ce484222325L;
+  private static final long FNV_PRIME = 0x100000001b3L;
+
+  private RendezvousHash() {}
+
+  /** Returns the weight of a candidate for a key; the highest unsigned weight ranks first. */
+  public static long weight(String key, String candidate) {
+    long hash = fnv(FNV_OFFSET, key);
+    hash = (hash ^ 0xff) * FNV_PRIME;
+    return mix(fnv(hash, candidate));
+  }
+
+  private static long fnv(long start, String text) {
+    long hash = start;
+    for (byte octet : text.getBytes(StandardCharsets.UTF_8)) {
+      hash = (hash ^ (octet & 0xff)) * FNV_PRIME;
+    }
+    return hash;
+  }
+
+  // FNV alone leaves the high bits of short, similar names close together; this finalizer of
+  // MurmurHash3 spreads them.
+  private static long mix(long hash) {
+    long mixed = hash;
+    mixed = (mixed ^ (mixed >>> 33)) * 0xff51afd7ed558ccdL;
+    mixed = (mixed ^ (mixed >>> 33)) * 0xc4ceb9fe1a85ec53L;
+    return mixed ^ (mixed >>> 33);
+  }
+}
--- a/core/src/main/java/org/oleanderstep/core/membership/WatcherElection.java
+++ b/core/src/main/java/org/oleanderstep/core/membership/WatcherElection.java
@@ -5,9 +5,11 @@
  *
  * <p>Two VMs for each failure domain suffice, and keep the load of the platform independent of the
  * number of VMs.
+ *
+ * <pre>{@code
+ * if (WatcherElection.isWatcher(peerTable, now)) watch();
+ * }</pre>
  */
-// The bodies follow in the next commits.
-@SuppressWarnings("DoNotCallSuggester")
 public final class WatcherElection {
 
   /** VMs for each failure domain that watch the platform. */
@@ -15,8 +17,20 @@
 
   private WatcherElection() {}
 
-  /** Returns whether this process is among the first by rank of its failure domain. */
+  /**
+   * Returns whether this process is among the first by rank of its failure domain.
+   *
+   * <p>Live peers that leave are not counted, so that a successor watches before they stop.
+   */
   public static boolean isWatcher(PeerTable peers, long now) {
-    throw new UnsupportedOperationException(peers + " " + now);
+    PeerIdentity self = peers.self();
+    long own = RendezvousHash.weight(self.failureDomain(), self.vm().name());
+    long ahead =
+        peers.live(now).stream()
+            .filter(peer -> peer.failureDomain().equals(self.failureDomain()) && !peer.leaving())
+            .map(peer -> RendezvousHash.weight(self.failureDomain(), peer.vm().name()))
+            .filter(weight -> Long.compareUnsigned(weight, own) > 0)
+            .count();
+    return ahead < WATCHERS_PER_DOMAIN;
   }
 }
