Add the HTTP clients of applications and of the proxy's way to targets

The stock client of the Avatica driver repeats a call without limit after a 503 or a lost connection, so an update of unknown outcome could run twice. The clients here use Apache HttpClient, which the driver already brings, with its own retries switched off.

--- /dev/null
+++ b/client/src/main/java/org/oleanderstep/client/internal/HttpLine.java
@@ -0,0 +1,138 @@
+package org.oleanderstep.client.internal;
+
+import java.io.File;
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.NoRouteToHostException;
+import java.net.URI;
+import java.net.UnknownHostException;
+import java.security.GeneralSecurityException;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import javax.net.ssl.SSLContext;
+import org.apache.hc.client5.http.ConnectTimeoutException;
+import org.apache.hc.client5.http.classic.methods.HttpPost;
+import org.apache.hc.client5.http.config.ConnectionConfig;
+import org.apache.hc.client5.http.config.RequestConfig;
+import org.apache.hc.client5.http.impl.classic.CloseableHttpClient;
+import org.apache.hc.client5.http.impl.classic.HttpClients;
+import org.apache.hc.client5.http.impl.io.BasicHttpClientConnectionManager;
+import org.apache.hc.client5.http.ssl.DefaultClientTlsStrategy;
+import org.apache.hc.client5.http.ssl.TlsSocketStrategy;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.config.RegistryBuilder;
+import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
+import org.apache.hc.core5.http.io.entity.EntityUtils;
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.ssl.SSLContexts;
+import org.apache.hc.core5.util.TimeValue;
+
+/**
+ * One kept-alive HTTP connection that sends each call at most once.
+ *
+ * <p>Not safe for use by several threads at once, except {@link #abort}.
+ */
+public final class HttpLine implements AutoCloseable {
+
+  // A server may close an idle connection at any time; checking after a short idle time avoids most
+  // failed calls at the cost of one non-blocking read.
+  private static final Duration CHECK_AFTER_IDLE = Duration.ofMillis(500);
+
+  private final CloseableHttpClient client;
+  private volatile HttpPost running;
+
+  private HttpLine(CloseableHttpClient client) {
+    this.client = client;
+  }
+
+  /** Opens a line; the network connection is made with the first call. */
+  public static HttpLine open(Duration connectTimeout, File trustStore, String trustStorePassword) {
+    BasicHttpClientConnectionManager connections = connections(trustStore, trustStorePassword);
+    connections.setConnectionConfig(
+        ConnectionConfig.custom()
+            .setConnectTimeout(connectTimeout.toMillis(), TimeUnit.MILLISECONDS)
+            .setValidateAfterInactivity(TimeValue.ofMilliseconds(CHECK_AFTER_IDLE.toMillis()))
+            .build());
+    return new HttpLine(
+        HttpClients.custom()
+            .setConnectionManager(connections)
+            .disableAutomaticRetries()
+            .disableRedirectHandling()
+            .disableCookieManagement()
+            .disableAuthCaching()
+            .disableContentCompression()
+            .build());
+  }
+
+  private static BasicHttpClientConnectionManager connections(File trustStore, String password) {
+    if (trustStore == null) {
+      return new BasicHttpClientConnectionManager();
+    }
+    try {
+      SSLContext context =
+          SSLContexts.custom()
+              .loadTrustMaterial(trustStore, password == null ? null : password.toCharArray())
+              .build();
+      return BasicHttpClientConnectionManager.create(
+          RegistryBuilder.<TlsSocketStrategy>create()
+              .register("https", new DefaultClientTlsStrategy(context))
+              .build());
+    } catch (GeneralSecurityException | IOException e) {
+      throw new IllegalArgumentException("cannot read the truststore " + trustStore, e);
+    }
+  }
+
+  /**
+   * Sends a call once and returns the whole answer.
+   *
+   * @param timeout longest silence of the server that is accepted
+   * @throws NotSentException if no byte of the call was sent
+   * @throws IOException if the call may have been processed
+   */
+  public Answer call(URI uri, Map<String, String> headers, byte[] body, Duration timeout)
+      throws IOException {
+    HttpPost post = new HttpPost(uri);
+    headers.forEach(post::setHeader);
+    post.setEntity(new ByteArrayEntity(body, ContentType.APPLICATION_OCTET_STREAM));
+    post.setConfig(
+        RequestConfig.custom()
+            .setResponseTimeout(Math.max(1, timeout.toMillis()), TimeUnit.MILLISECONDS)
+            .build());
+    running = post;
+    try {
+      return client.execute(post, HttpLine::read);
+    } catch (ConnectException
+        | ConnectTimeoutException
+        | UnknownHostException
+        | NoRouteToHostException e) {
+      throw new NotSentException("cannot connect to " + uri.getAuthority(), e);
+    } finally {
+      running = null;
+    }
+  }
+
+  private static Answer read(ClassicHttpResponse response) throws IOException {
+    return new Answer(
+        response.getCode(),
+        EntityUtils.toByteArray(response.getEntity()),
+        name -> {
+          var header = response.getFirstHeader(name);
+          return header == null ? null : header.getValue();
+        });
+  }
+
+  /** Breaks the call that runs now, from another thread. */
+  public void abort() {
+    HttpPost post = running;
+    if (post != null) {
+      post.abort();
+    }
+  }
+
+  @Override
+  public void close() {
+    client.close(CloseMode.IMMEDIATE);
+  }
+}
--- /dev/null
+++ b/client/src/main/java/org/oleanderstep/client/internal/ProxyAddresses.java
@@ -0,0 +1,65 @@
+package org.oleanderstep.client.internal;
+
+import java.net.URI;
+import java.net.URISyntaxException;
+import java.net.URL;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+/**
+ * The proxies that a URL names, and the options of its query part.
+ *
+ * @param uris one address for each proxy, without a query part
+ * @param timeout time that a call may take
+ * @param idOnEachWrite whether each call that may write gets a random request id
+ */
+public record ProxyAddresses(List<URI> uris, Duration timeout, boolean idOnEachWrite) {
+
+  private static final Duration DEFAULT_TIMEOUT = Duration.ofSeconds(30);
+
+  /**
+   * Parses {@code http://host:port/v1/service/database?proxies=host:port,...&timeoutMs=30000
+   * &requestIds=always}.
+   */
+  public static ProxyAddresses parse(URL url) {
+    Map<String, String> options = options(url.getQuery());
+    List<URI> uris = new ArrayList<>();
+    uris.add(address(url, url.getAuthority()));
+    for (String other : options.getOrDefault("proxies", "").split(",", -1)) {
+      if (!other.isBlank()) {
+        uris.add(address(url, other.strip()));
+      }
+    }
+    Duration timeout =
+        options.containsKey("timeoutMs")
+            ? Duration.ofMillis(Long.parseLong(options.get("timeoutMs")))
+            : DEFAULT_TIMEOUT;
+    if (timeout.isNegative() || timeout.isZero()) {
+      throw new IllegalArgumentException("timeoutMs must be positive: " + timeout.toMillis());
+    }
+    return new ProxyAddresses(
+        List.copyOf(uris), timeout, "always".equals(options.get("requestIds")));
+  }
+
+  private static Map<String, String> options(String query) {
+    if (query == null) {
+      return Map.of();
+    }
+    return Stream.of(query.split("&", -1))
+        .map(option -> option.split("=", 2))
+        .filter(option -> option.length == 2)
+        .collect(Collectors.toMap(option -> option[0], option -> option[1], (a, b) -> b));
+  }
+
+  private static URI address(URL url, String authority) {
+    try {
+      return new URI(url.getProtocol(), authority, url.getPath(), null, null);
+    } catch (URISyntaxException e) {
+      throw new IllegalArgumentException("not a proxy address: " + authority, e);
+    }
+  }
+}
