--- /dev/null
+++ b/load/src/main/java/org/oleanderstep/load/command/package-info.java
@@ -0,0 +1,2 @@
+/** Commands of the load tool. */
+package org.oleanderstep.load.command;
--- a/load/src/main/java/org/oleanderstep/load/fleet/Fleet.java
+++ b/load/src/main/java/org/oleanderstep/load/fleet/Fleet.java
@@ -1,12 +1,12 @@
 package org.oleanderstep.load.fleet;
 
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
-import java.net.InetSocketAddress;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -97,14 +97,19 @@
     int port = Ports.free(1).get(0);
     Path file = settings.platform(port);
     platform = standin("platform", PLATFORM_HEAP_MIB, "platform", file);
-    platformRelay = new Relay("platform", new InetSocketAddress("127.0.0.1", port), () -> parties);
+    platformRelay =
+        new Relay(
+            "platform",
+            new InetSocketAddress(InetAddress.getLoopbackAddress(), port),
+            () -> parties);
     platformAccess = new PlatformAccess("http://127.0.0.1:" + port);
     launch(platform);
     await("platform", () -> answers("http://127.0.0.1:" + port + "/stats"));
   }
 
   private ManagedProcess standin(String name, int heap, String command, Path file) {
-    return ManagedProcess.java(name, STANDIN, heap, log(name), command, "--settings", file.toString());
+    return ManagedProcess.java(
+        name, STANDIN, heap, log(name), command, "--settings", file.toString());
   }
 
   private Path log(String name) {
@@ -216,7 +221,14 @@
     String url = platformAccess.url();
     ManagedProcess command =
         ManagedProcess.java(
-            "apply", CLI, CLI_HEAP_MIB, log("apply"), "apply", directory.toString(), "--platform", url);
+            "apply",
+            CLI,
+            CLI_HEAP_MIB,
+            log("apply"),
+            "apply",
+            directory.toString(),
+            "--platform",
+            url);
     command.start();
     if (!command.awaitExit(START_LIMIT) || command.exitStatus() != 0) {
       command.close();
@@ -251,7 +263,8 @@
   }
 
   private boolean answers(String url) throws InterruptedException {
-    HttpRequest request = HttpRequest.newBuilder(URI.create(url)).timeout(POLL.multipliedBy(20)).build();
+    HttpRequest request =
+        HttpRequest.newBuilder(URI.create(url)).timeout(POLL.multipliedBy(20)).build();
     try {
       return http.send(request, HttpResponse.BodyHandlers.discarding()).statusCode() == 200;
     } catch (IOException e) {
--- a/load/src/main/java/org/oleanderstep/load/fleet/GroupAccess.java
+++ b/load/src/main/java/org/oleanderstep/load/fleet/GroupAccess.java
@@ -96,12 +96,16 @@
     return from.isEmpty() ? parties.keySet() : from;
   }
 
+  /** Returns whether the process is a member of this group. */
+  public boolean contains(String process) {
+    return nodes.stream().anyMatch(node -> node.process().name().equals(process));
+  }
+
   private MemberNode node(String process) {
     return nodes.stream()
         .filter(node -> node.process().name().equals(process))
         .findFirst()
-        .orElseThrow(
-            () -> new IllegalArgumentException(database + " has no member " + process));
+        .orElseThrow(() -> new IllegalArgumentException(database + " has no member " + process));
   }
 
   /** Returns the address at which a member serves SQL, past its relay. */
--- a/load/src/main/java/org/oleanderstep/load/fleet/ManagedProcess.java
+++ b/load/src/main/java/org/oleanderstep/load/fleet/ManagedProcess.java
@@ -89,9 +89,12 @@
   }
 
   /** Ends the process with SIGKILL and waits until it is gone. */
-  public void kill() throws InterruptedException {
-    current().destroyForcibly();
-    current().waitFor(STOP_LIMIT.toMillis(), TimeUnit.MILLISECONDS);
+  public void kill() {
+    current()
+        .destroyForcibly()
+        .onExit()
+        .orTimeout(STOP_LIMIT.toMillis(), TimeUnit.MILLISECONDS)
+        .join();
   }
 
   /** Sends SIGTERM and returns at once. */
@@ -120,7 +123,7 @@
   }
 
   @Override
-  public void close() throws InterruptedException {
+  public void close() {
     if (isAlive()) {
       kill();
     }
--- a/load/src/main/java/org/oleanderstep/load/fleet/PeerProcess.java
+++ b/load/src/main/java/org/oleanderstep/load/fleet/PeerProcess.java
@@ -15,7 +15,8 @@
  */
 final class PeerProcess {
 
-  private static final List<Path> TABLES = List.of(Path.of("/proc/net/tcp"), Path.of("/proc/net/tcp6"));
+  private static final List<Path> TABLES =
+      List.of(Path.of("/proc/net/tcp"), Path.of("/proc/net/tcp6"));
   private static final int LOCAL_ADDRESS = 1;
   private static final int INODE = 9;
 
--- a/load/src/main/java/org/oleanderstep/load/fleet/SettingsFiles.java
+++ b/load/src/main/java/org/oleanderstep/load/fleet/SettingsFiles.java
@@ -19,9 +19,6 @@
 /** Writes the settings of the fleet's processes. */
 final class SettingsFiles {
 
-  static final String TARGET_USER = "oleanderstep";
-  static final String TARGET_PASSWORD = "target-account-of-the-test-fleet";
-
   private static final Duration PLATFORM_TIMEOUT = Durations.fromMillis(1_000);
 
   private final Path directory;
@@ -30,7 +27,7 @@
   SettingsFiles(Path directory) throws IOException {
     this.directory = Files.createDirectories(directory);
     passwordFile = directory.resolve("target-password");
-    Files.writeString(passwordFile, TARGET_PASSWORD);
+    Files.writeString(passwordFile, TargetAccount.PASSWORD);
   }
 
   Path platform(int port) throws IOException {
@@ -57,10 +54,10 @@
             .setApplyLag(Durations.fromNanos(lag.toNanos()))
             .setDataDirectory(directory.resolve("data-" + name).toString())
             .setInitialPrimary(database.getMembers(0).getName())
-            .setUser(TARGET_USER)
-            .setPassword(TARGET_PASSWORD);
+            .setUser(TargetAccount.USER)
+            .setPassword(TargetAccount.PASSWORD);
     peers.stream()
-        .filter(peer -> peer != node)
+        .filter(peer -> !peer.process().name().equals(node.process().name()))
         .forEach(peer -> settings.addPeers(peer(peer)));
     return write("member-" + name, settings.build());
   }
@@ -72,7 +69,8 @@
         .build();
   }
 
-  Path proxy(ProxyNode node, String region, String failureDomain, String platformUrl, List<String> seeds)
+  Path proxy(
+      ProxyNode node, String region, String failureDomain, String platformUrl, List<String> seeds)
       throws IOException {
     ProxySettings settings =
         ProxySettings.newBuilder()
@@ -83,11 +81,13 @@
             .setPeerAddress(node.peerAddress())
             .setMetricsAddress(node.metricsAddress())
             .setPlatform(
-                PlatformClientSettings.newBuilder().setUrl(platformUrl).setTimeout(PLATFORM_TIMEOUT))
+                PlatformClientSettings.newBuilder()
+                    .setUrl(platformUrl)
+                    .setTimeout(PLATFORM_TIMEOUT))
             .addAllSeedPeers(seeds)
             .setTarget(
                 TargetSettings.newBuilder()
-                    .setUser(TARGET_USER)
+                    .setUser(TargetAccount.USER)
                     .setPasswordFile(passwordFile.toString()))
             .build();
     return write("proxy-" + node.vm(), settings);
--- /dev/null
+++ b/load/src/main/java/org/oleanderstep/load/report/package-info.java
@@ -0,0 +1,2 @@
+/** Measures of a run and its verdict. */
+package org.oleanderstep.load.report;
--- /dev/null
+++ b/load/src/main/java/org/oleanderstep/load/workload/SessionOperations.java
@@ -0,0 +1,127 @@
+package org.oleanderstep.load.workload;
+
+import java.sql.Connection;
+import java.sql.PreparedStatement;
+import java.sql.ResultSet;
+import java.sql.SQLException;
+import java.util.random.RandomGenerator;
+import org.oleanderstep.client.RequestIds;
+import org.oleanderstep.schema.v1.Operation;
+
+/** The statements of one session on its JDBC connection. */
+final class SessionOperations {
+
+  private final Connection connection;
+  private final String counter;
+  private final String organisation;
+
+  SessionOperations(Connection connection, String counter, String organisation) {
+    this.connection = connection;
+    this.counter = counter;
+    this.organisation = organisation;
+  }
+
+  /**
+   * Runs one operation and fills in what it returned.
+   *
+   * @throws SQLException if a statement fails
+   */
+  void run(Operation.Builder operation, RandomGenerator random) throws SQLException {
+    switch (operation.getType()) {
+      case READ_COUNTER ->
+          read(
+              operation,
+              "SELECT CAST(? AS VARCHAR), COALESCE(MAX(number), 0) FROM counter WHERE id = ?",
+              counter);
+      case READ_SUM ->
+          read(
+              operation,
+              "SELECT CAST(? AS VARCHAR), SUM(balance) FROM account WHERE id >= CAST(? AS INT)",
+              "0");
+      case ADD_TO_COUNTER -> add(operation);
+      case PLACE_ORDER -> order(operation);
+      case TRANSFER -> transfer(random);
+      default -> throw new IllegalStateException("no such operation: " + operation.getType());
+    }
+  }
+
+  /** Inserts the session's counter with the value zero, once. */
+  void createCounter() throws SQLException {
+    try (RequestIds.Scope scope = RequestIds.use("create-" + counter)) {
+      execute("INSERT INTO counter (id, number) VALUES (?, 0)", counter);
+    }
+  }
+
+  private void read(Operation.Builder operation, String sql, String argument) throws SQLException {
+    try (PreparedStatement statement = connection.prepareStatement(sql)) {
+      statement.setString(1, operation.getSentToken());
+      statement.setString(2, argument);
+      try (ResultSet rows = statement.executeQuery()) {
+        rows.next();
+        operation.setReceivedToken(rows.getString(1));
+        operation.setValue(rows.getLong(2));
+      }
+    }
+  }
+
+  private void add(Operation.Builder operation) throws SQLException {
+    int rows = execute("UPDATE counter SET number = number + 1 WHERE id = ?", counter);
+    if (rows != 1) {
+      throw new SQLException("the counter " + counter + " has " + rows + " rows", "02000");
+    }
+    operation.setReceivedToken(operation.getSentToken());
+  }
+
+  private void order(Operation.Builder operation) throws SQLException {
+    try (RequestIds.Scope scope = RequestIds.use(operation.getSubject())) {
+      execute(
+          "INSERT INTO board_order (entry, id, organisation) VALUES (RANDOM_UUID(), ?, ?)",
+          operation.getSubject(),
+          organisation);
+      operation.setReceivedToken(operation.getSentToken());
+    }
+  }
+
+  private int execute(String sql, String... arguments) throws SQLException {
+    try (PreparedStatement statement = connection.prepareStatement(sql)) {
+      for (int i = 0; i < arguments.length; i++) {
+        statement.setString(i + 1, arguments[i]);
+      }
+      return statement.executeUpdate();
+    }
+  }
+
+  private void transfer(RandomGenerator random) throws SQLException {
+    int from = random.nextInt(Tables.ACCOUNTS);
+    int to = (from + 1 + random.nextInt(Tables.ACCOUNTS - 1)) % Tables.ACCOUNTS;
+    connection.setAutoCommit(false);
+    try {
+      // Rows are changed in the order of their ids, so that transfers never wait in a circle.
+      move(Math.min(from, to), from < to ? -1 : 1);
+      move(Math.max(from, to), from < to ? 1 : -1);
+      connection.commit();
+    } catch (SQLException e) {
+      rollback(e);
+      throw e;
+    } finally {
+      connection.setAutoCommit(true);
+    }
+  }
+
+  private void move(int account, int amount) throws SQLException {
+    String sql = "UPDATE account SET balance = balance + ? WHERE id = ?";
+    try (PreparedStatement statement = connection.prepareStatement(sql)) {
+      statement.setInt(1, amount);
+      statement.setInt(2, account);
+      statement.executeUpdate();
+    }
+  }
+
+  private void rollback(SQLException cause) {
+    try {
+      connection.rollback();
+    } catch (SQLException e) {
+      cause.addSuppressed(e);
+    }
+  }
+}
--- a/load/src/test/java/org/oleanderstep/load/check/HistoryChecksTest.java
+++ b/load/src/test/java/org/oleanderstep/load/check/HistoryChecksTest.java
@@ -129,7 +129,8 @@
 
     @Test
     void should_reject_a_sum_that_shows_half_a_transfer() {
-      List<Operation> history = List.of(operation(Operation.Type.READ_SUM, Result.SERVED, "", 990, 0));
+      List<Operation> history =
+          List.of(operation(Operation.Type.READ_SUM, Result.SERVED, "", 990, 0));
       FinalState state = new FinalState(Map.of(), Map.of(), 1_000);
       assertThat(invariants(new TransferCheck(1_000).check(history, state))).containsExactly("H3");
     }
