--- a/core/src/main/java/org/oleanderstep/core/admission/AdmissionAction.java
+++ b/core/src/main/java/org/oleanderstep/core/admission/AdmissionAction.java
@@ -24,8 +24,10 @@
   record Refuse(long requestId, NotRunReason reason) implements AdmissionAction {}
 
   /**
-   * Reads the share table from the platform or a peer and hands it to {@link ShareLedger#onShares};
-   * nothing is admitted until then.
+   * Reads the share table from the platform or a peer with a request that is sent now, and hands
+   * the answer to {@link ShareLedger#onSharesConfirmed}; nothing is admitted until then.
+   *
+   * @param confirmationId names the answer; an answer to an earlier request proves nothing
    */
-  record ConfirmShares() implements AdmissionAction {}
+  record ConfirmShares(long confirmationId) implements AdmissionAction {}
 }
--- /dev/null
+++ b/core/src/main/java/org/oleanderstep/core/admission/TokenBucket.java
@@ -0,0 +1,116 @@
+package org.oleanderstep.core.admission;
+
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * A token bucket in a single number: the time at which it was empty.
+ *
+ * <p>The bucket holds the tokens that accrued since then, up to its cap. All threads may take
+ * single tokens; everything else belongs to the control thread.
+ *
+ * <p>Times are nanoseconds of a monotonic clock, and may wrap; they are compared by difference.
+ */
+final class TokenBucket {
+
+  private static final double NANOS_PER_SECOND = 1e9;
+  // Keeps sums of times far from overflow; 73 years in nanoseconds.
+  private static final long MAX_SPAN = Long.MAX_VALUE / 4;
+  private static final long SEALED = Long.MAX_VALUE;
+
+  private final long tokenNanos;
+  private final AtomicLong emptyAt;
+  private volatile long capNanos;
+
+  private TokenBucket(long tokenNanos, long capNanos, long emptyAt) {
+    this.tokenNanos = tokenNanos;
+    this.capNanos = capNanos;
+    this.emptyAt = new AtomicLong(emptyAt);
+  }
+
+  /** Returns a bucket that never has a token. */
+  static TokenBucket closed(long now) {
+    return new TokenBucket(MAX_SPAN, 0, now);
+  }
+
+  /**
+   * Returns a bucket with some tokens.
+   *
+   * @param ratePerSecond tokens that accrue, above zero
+   * @param cap tokens held at most
+   * @param tokens tokens held now; what exceeds the cap is lost
+   */
+  static TokenBucket of(double ratePerSecond, double cap, double tokens, long now) {
+    // Rounded up, so that the bucket never accrues more than its rate.
+    long tokenNanos =
+        (long) Math.min((double) MAX_SPAN, Math.ceil(NANOS_PER_SECOND / ratePerSecond));
+    long capNanos = span(cap, tokenNanos);
+    long level = Math.min(capNanos, span(tokens, tokenNanos));
+    return new TokenBucket(tokenNanos, capNanos, now - level);
+  }
+
+  private static long span(double tokens, long tokenNanos) {
+    return (long) Math.min((double) MAX_SPAN, Math.floor(Math.max(0, tokens) * tokenNanos));
+  }
+
+  /** Takes one token if there is one. */
+  boolean tryTake(long now) {
+    while (true) {
+      long held = emptyAt.get();
+      if (held == SEALED) {
+        return false;
+      }
+      long next = clamp(held, now) + tokenNanos;
+      if (next - now > 0) {
+        return false;
+      }
+      if (emptyAt.compareAndSet(held, next)) {
+        return true;
+      }
+    }
+  }
+
+  private long clamp(long held, long now) {
+    long earliest = now - capNanos;
+    return held - earliest > 0 ? held : earliest;
+  }
+
+  /** Returns the tokens held. */
+  double tokens(long now) {
+    long held = emptyAt.get();
+    return held == SEALED ? 0 : (double) Math.max(0, now - clamp(held, now)) / tokenNanos;
+  }
+
+  /** Takes exactly an amount if it is there. */
+  boolean tryTake(double amount, long now) {
+    long span = (long) Math.min((double) MAX_SPAN, Math.ceil(amount * tokenNanos));
+    while (true) {
+      long held = emptyAt.get();
+      long next = clamp(held, now) + span;
+      if (held == SEALED || next - now > 0) {
+        return false;
+      }
+      if (emptyAt.compareAndSet(held, next)) {
+        return true;
+      }
+    }
+  }
+
+  /** Adds tokens; what exceeds the cap is lost. */
+  void add(double amount, long now) {
+    long span = span(amount, tokenNanos);
+    emptyAt.getAndUpdate(held -> held == SEALED ? SEALED : clamp(clamp(held, now) - span, now));
+  }
+
+  /** Changes the cap; tokens above it are lost. */
+  void setCap(double cap, long now) {
+    // Drops the tokens above the old cap first. They would come back if only the cap were raised.
+    emptyAt.getAndUpdate(held -> held == SEALED ? SEALED : clamp(held, now));
+    capNanos = span(cap, tokenNanos);
+  }
+
+  /** Closes the bucket for good and returns the tokens it held. */
+  double seal(long now) {
+    long held = emptyAt.getAndSet(SEALED);
+    return held == SEALED ? 0 : (double) Math.max(0, now - clamp(held, now)) / tokenNanos;
+  }
+}
