--- /dev/null
+++ b/standins/src/main/java/org/oleanderstep/standins/member/internal/package-info.java
@@ -0,0 +1,2 @@
+/** Parts of the member stand-in; not for use by other packages. */
+package org.oleanderstep.standins.member.internal;
