--- a/load/src/main/java/org/oleanderstep/load/Experiment.java
+++ b/load/src/main/java/org/oleanderstep/load/Experiment.java
@@ -50,13 +50,16 @@
   public static Experiment load(Path file) throws IOException {
     Scenario.Builder scenario = Scenario.newBuilder();
     JsonFormat.parser().merge(Files.readString(file), scenario);
-    Path declarations = file.resolveSibling(scenario.getDeclarations());
-    return of(scenario.build(), DeclarationFiles.read(declarations));
+    Declarations.Builder declarations = Declarations.newBuilder();
+    for (String directory : scenario.getDeclarationsList()) {
+      declarations.mergeFrom(DeclarationFiles.read(file.resolveSibling(directory)));
+    }
+    return of(scenario.build(), declarations.build());
   }
 
   /** Creates an experiment from a scenario and declared objects. */
   public static Experiment of(Scenario scenario, Declarations declarations) {
-    return new Experiment(scenario, declarations);
+    return new Experiment(scenario, DeclaredSubset.of(declarations, scenario.getDatabasesList()));
   }
 
   /** Returns the seed from which load and faults are drawn. */
--- a/load/src/main/java/org/oleanderstep/load/fault/FaultInjector.java
+++ b/load/src/main/java/org/oleanderstep/load/fault/FaultInjector.java
@@ -5,9 +5,12 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -43,6 +46,7 @@
             return thread;
           });
   private final List<CompletableFuture<InjectedFault>> pending = new ArrayList<>();
+  private final Queue<Future<?>> timers = new ConcurrentLinkedQueue<>();
 
   /** Creates an injector for a running fleet. */
   public FaultInjector(Fleet fleet, Recorder recorder) {
@@ -56,7 +60,7 @@
       CompletableFuture<InjectedFault> done = new CompletableFuture<>();
       pending.add(done);
       long delay = warmUp.toMillis() + Durations.toMillis(fault.getAt());
-      timer.schedule(() -> inject(fault, done), delay, TimeUnit.MILLISECONDS);
+      timers.add(timer.schedule(() -> inject(fault, done), delay, TimeUnit.MILLISECONDS));
     }
   }
 
@@ -72,7 +76,7 @@
         done.complete(injected);
         return;
       }
-      timer.schedule(() -> undo(injected, done), length, TimeUnit.MILLISECONDS);
+      timers.add(timer.schedule(() -> undo(injected, done), length, TimeUnit.MILLISECONDS));
     } catch (IOException | RuntimeException e) {
       done.completeExceptionally(e);
     } catch (InterruptedException e) {
@@ -115,6 +119,7 @@
 
   @Override
   public void close() {
+    timers.forEach(future -> future.cancel(true));
     timer.shutdownNow();
   }
 }
--- a/load/src/main/java/org/oleanderstep/load/fleet/GroupAccess.java
+++ b/load/src/main/java/org/oleanderstep/load/fleet/GroupAccess.java
@@ -4,6 +4,7 @@
 import io.grpc.ManagedChannel;
 import io.grpc.StatusRuntimeException;
 import io.grpc.netty.NettyChannelBuilder;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -116,7 +117,8 @@
   private static <T> Optional<T> call(
       MemberNode node, Function<GroupControlGrpc.GroupControlBlockingStub, T> call) {
     ManagedChannel channel =
-        NettyChannelBuilder.forAddress(new InetSocketAddress("127.0.0.1", node.controlPort()))
+        NettyChannelBuilder.forAddress(
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), node.controlPort()))
             .usePlaintext()
             .build();
     try {
--- a/load/src/main/java/org/oleanderstep/load/fleet/MemberNode.java
+++ b/load/src/main/java/org/oleanderstep/load/fleet/MemberNode.java
@@ -1,6 +1,7 @@
 package org.oleanderstep.load.fleet;
 
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.Collection;
 import java.util.Map;
@@ -37,7 +38,7 @@
   }
 
   private static InetSocketAddress loopback(int port) {
-    return new InetSocketAddress("127.0.0.1", port);
+    return new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
   }
 
   /** Returns the declaration with the addresses of the relays. */
--- a/load/src/test/java/org/oleanderstep/load/check/HistoryChecksTest.java
+++ b/load/src/test/java/org/oleanderstep/load/check/HistoryChecksTest.java
@@ -20,7 +20,7 @@
   private static final FinalState EMPTY = new FinalState(Map.of(), Map.of(), 0);
 
   private static Operation operation(
-      Type type, Result result, String subject, long value, long at) {
+      Operation.Type type, Result result, String subject, long value, long at) {
     return Operation.newBuilder()
         .setType(type)
         .setResult(result)
