Simulate the spread of configurations among five proxies

Nothing showed that generations never go back (H13) and that a withdrawn key is refused within 5 s on a proxy that is cut off (H6). The run has partitions, pauses, restarts, late messages and outages of the platform.

--- /dev/null
+++ b/core/src/test/java/org/oleanderstep/core/membership/ConfigurationHistory.java
@@ -0,0 +1,127 @@
+package org.oleanderstep.core.membership;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * What happened to configurations during a run, and the checks of H6 and H13 over it.
+ *
+ * <p>Events must be added in the order of their times.
+ */
+final class ConfigurationHistory {
+
+  /** Time within which a withdrawn key must be refused everywhere. */
+  static final long WITHDRAWAL_BOUND = 5_000_000_000L;
+
+  /** Time within which all processes have the newest generation without a partition. */
+  static final long SPREAD_BOUND = 3_000_000_000L;
+
+  private record Publication(long time, long generation, String withdrawnKey) {}
+
+  private record Adoption(long time, String process, long generation) {}
+
+  private record Call(long time, String process, String key) {}
+
+  private record Read(String session, long generation) {}
+
+  private record Observation(long time, String process, long generation) {}
+
+  private final List<Publication> publications = new ArrayList<>();
+  private final List<Adoption> adoptions = new ArrayList<>();
+  private final List<Call> accepted = new ArrayList<>();
+  private final List<Read> reads = new ArrayList<>();
+  private final List<Observation> observations = new ArrayList<>();
+
+  /** Adds a publication that withdraws a key. */
+  void published(long time, long generation, String withdrawnKey) {
+    publications.add(new Publication(time, generation, withdrawnKey));
+  }
+
+  /** Adds a change of the generation in force of a process. */
+  void adopted(long time, String process, long generation) {
+    adoptions.add(new Adoption(time, process, generation));
+  }
+
+  /** Adds a call that a process accepted with a key. */
+  void accepted(long time, String process, String key) {
+    accepted.add(new Call(time, process, key));
+  }
+
+  /** Adds the generation under which a call of a session was served. */
+  void served(String session, long generation) {
+    reads.add(new Read(session, generation));
+  }
+
+  /** Adds the generation of a process that had contact to all others for the spread bound. */
+  void connected(long time, String process, long generation) {
+    observations.add(new Observation(time, process, generation));
+  }
+
+  /** Returns the number of accepted calls. */
+  long acceptedCalls() {
+    return accepted.size();
+  }
+
+  /** Returns the number of calls that sessions had served. */
+  long servedCalls() {
+    return reads.size();
+  }
+
+  /** Returns the number of observations that the spread is checked on. */
+  long connectedObservations() {
+    return observations.size();
+  }
+
+  /** Returns the first broken promise. */
+  Optional<String> violation() {
+    return reversal().or(this::sessionReversal).or(this::lateAcceptance).or(this::slowSpread);
+  }
+
+  private Optional<String> reversal() {
+    Map<String, Long> inForce = new HashMap<>();
+    for (Adoption adoption : adoptions) {
+      Long before = inForce.put(adoption.process(), adoption.generation());
+      if (before != null && before > adoption.generation()) {
+        return Optional.of("process went back from generation " + before + ": " + adoption);
+      }
+    }
+    return Optional.empty();
+  }
+
+  private Optional<String> sessionReversal() {
+    Map<String, Long> seen = new HashMap<>();
+    for (Read read : reads) {
+      Long before = seen.put(read.session(), read.generation());
+      if (before != null && before > read.generation()) {
+        return Optional.of("session went back from generation " + before + ": " + read);
+      }
+    }
+    return Optional.empty();
+  }
+
+  private Optional<String> lateAcceptance() {
+    Map<String, Long> withdrawnAt = new HashMap<>();
+    publications.forEach(item -> withdrawnAt.put(item.withdrawnKey(), item.time()));
+    return accepted.stream()
+        .filter(call -> withdrawnAt.containsKey(call.key()))
+        .filter(call -> call.time() > withdrawnAt.get(call.key()) + WITHDRAWAL_BOUND)
+        .findFirst()
+        .map(
+            call -> "a key withdrawn at " + withdrawnAt.get(call.key()) + " was accepted: " + call);
+  }
+
+  private Optional<String> slowSpread() {
+    for (Observation observation : observations) {
+      for (Publication publication : publications) {
+        boolean due = publication.time() + SPREAD_BOUND <= observation.time();
+        if (due && publication.generation() > observation.generation()) {
+          return Optional.of(publication + " had not reached " + observation);
+        }
+      }
+    }
+    return Optional.empty();
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/oleanderstep/core/membership/GossipSimulation.java
@@ -0,0 +1,409 @@
+package org.oleanderstep.core.membership;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.oleanderstep.core.configuration.Adoption;
+import org.oleanderstep.core.configuration.Configuration;
+import org.oleanderstep.core.configuration.ConfigurationAdopter;
+import org.oleanderstep.core.configuration.Declarations;
+import org.oleanderstep.core.configuration.Key;
+import org.oleanderstep.core.configuration.KeyVerifier;
+import org.oleanderstep.core.configuration.Organisation;
+import org.oleanderstep.core.model.VmId;
+import org.oleanderstep.core.simulation.EventLoop;
+
+/**
+ * Five proxies of one failure domain, two of which watch the platform, that spread configurations,
+ * with a seeded network, partitions, pauses, restarts and outages of the platform.
+ *
+ * <p>The operator publishes only while a majority of the proxies can reach the platform; the other
+ * case is stated in the design as not proved.
+ */
+final class GossipSimulation {
+
+  static final long MILLI = 1_000_000L;
+  static final long SECOND = 1_000 * MILLI;
+  private static final long START = 100 * SECOND;
+  private static final int PROXIES = 5;
+  private static final int KEYS = 200;
+  private static final long GOSSIP_INTERVAL = 500 * MILLI;
+  private static final long WATCH_LENGTH = SECOND;
+  private static final long PLATFORM_TIMEOUT = SECOND + 500 * MILLI;
+
+  /** A fault in the mechanism itself, which the checks must find. */
+  enum Mutant {
+    NONE,
+    ADOPT_BY_ARRIVAL,
+    TRUST_WITHOUT_LIMIT,
+    REQUESTS_ARE_EVIDENCE,
+    ANSWERS_COUNT_FROM_ARRIVAL,
+    SESSION_GENERATION_IGNORED,
+    NEWER_NOT_PULLED
+  }
+
+  private final class Proxy {
+    private final VmId vm;
+    private PeerTable table;
+    private ConfigurationAdopter adopter;
+    private GossipPlanner planner;
+    private TrustPolicy trust;
+    private String process = "";
+    private long startedAt;
+    private long frozenUntil;
+
+    Proxy(int index) {
+      vm = new VmId("vm-" + index);
+    }
+
+    void start() {
+      process = vm.name() + "#" + processes++;
+      startedAt = now();
+      table =
+          new PeerTable(
+              new PeerIdentity(vm, process, "a", vm.name(), vm.name()), MembershipSettings.DEFAULT);
+      adopter = new ConfigurationAdopter();
+      planner = new GossipPlanner(random);
+      trust =
+          new TrustPolicy(
+              mutant == Mutant.TRUST_WITHOUT_LIMIT
+                  ? Duration.ofHours(1)
+                  : MembershipSettings.DEFAULT.configurationTrust());
+      String ofProcess = process;
+      onSelf(ofProcess, now(), () -> gossip(ofProcess));
+      onSelf(ofProcess, now(), () -> askPlatform(ofProcess, true));
+    }
+
+    /** Runs a body in a process, later if it is frozen; after a freeze the order is random. */
+    void onSelf(String ofProcess, long time, Runnable body) {
+      loop.at(
+          time,
+          () -> {
+            if (now() < frozenUntil) {
+              onSelf(ofProcess, frozenUntil + random.nextInt(2_000_000), body);
+            } else if (process.equals(ofProcess)) {
+              body.run();
+            }
+          });
+    }
+
+    private void gossip(String ofProcess) {
+      List<String> seeds = List.of("vm-0", "vm-3");
+      planner.nextRound(table, seeds, now()).forEach(this::exchange);
+      onSelf(ofProcess, now() + GOSSIP_INTERVAL, () -> gossip(ofProcess));
+    }
+
+    private void exchange(String address) {
+      Proxy peer = proxies.get(address);
+      String from = process;
+      long sentAt = now();
+      PeerDigest digest = table.digest(now());
+      transmit(
+          this,
+          peer,
+          () -> {
+            PeerDigest reply = peer.table.onRequest(digest, now());
+            if (mutant == Mutant.REQUESTS_ARE_EVIDENCE) {
+              peer.table.onReply(digest, now(), now());
+            }
+            peer.pullNewest();
+            transmit(peer, this, from, () -> onReply(reply, sentAt));
+          });
+    }
+
+    private void onReply(PeerDigest reply, long sentAt) {
+      long asOf = mutant == Mutant.ANSWERS_COUNT_FROM_ARRIVAL ? now() : sentAt;
+      table.onReply(reply, asOf, now());
+      pullNewest();
+    }
+
+    private void pullNewest() {
+      if (mutant == Mutant.NEWER_NOT_PULLED) {
+        return;
+      }
+      table.newestConfiguration(now()).ifPresent(peer -> pull(proxies.get(peer.vm().name())));
+    }
+
+    private void pull(Proxy peer) {
+      String from = process;
+      transmit(
+          this,
+          peer,
+          () ->
+              peer.adopter
+                  .current()
+                  .ifPresent(held -> transmit(peer, this, from, () -> offer(held))));
+    }
+
+    private void offer(Configuration offered) {
+      if (mutant == Mutant.ADOPT_BY_ARRIVAL && adopter.generation() != offered.generation()) {
+        adopter = new ConfigurationAdopter();
+      }
+      if (adopter.offer(offered) instanceof Adoption.Adopted) {
+        table.updateSelf(new SelfState(adopter.generation(), 0, true, false, Map.of()));
+        history.adopted(now(), process, adopter.generation());
+      }
+    }
+
+    /** Reads once at the start, and holds a watch while it is a watcher. */
+    private void askPlatform(String ofProcess, boolean read) {
+      if (!read && !WatcherElection.isWatcher(table, now())) {
+        onSelf(ofProcess, now() + GOSSIP_INTERVAL, () -> askPlatform(ofProcess, false));
+        return;
+      }
+      long sentAt = now();
+      long heldGeneration = read ? 0 : adopter.generation();
+      boolean[] answered = {false};
+      loop.at(
+          now() + delay(),
+          () -> watch(ofProcess, heldGeneration, sentAt, sentAt + WATCH_LENGTH, answered));
+      onSelf(
+          ofProcess,
+          now() + PLATFORM_TIMEOUT,
+          () -> {
+            if (!answered[0]) {
+              answered[0] = true;
+              askPlatform(ofProcess, adopter.generation() == 0);
+            }
+          });
+    }
+
+    private void watch(
+        String ofProcess, long heldGeneration, long sentAt, long end, boolean[] answered) {
+      if (!reachesPlatform(this)) {
+        return;
+      }
+      if (platform.generation() <= heldGeneration && now() < end) {
+        loop.at(now() + 20 * MILLI, () -> watch(ofProcess, heldGeneration, sentAt, end, answered));
+        return;
+      }
+      Configuration answer = platform;
+      VmList list = vmList;
+      onSelf(
+          ofProcess,
+          now() + delay(),
+          () -> {
+            if (answered[0] && mutant != Mutant.ANSWERS_COUNT_FROM_ARRIVAL) {
+              return;
+            }
+            boolean first = !answered[0];
+            answered[0] = true;
+            onPlatformAnswer(answer, list, sentAt);
+            if (first) {
+              askPlatform(ofProcess, false);
+            }
+          });
+    }
+
+    private void onPlatformAnswer(Configuration answer, VmList list, long sentAt) {
+      offer(answer);
+      table.onVmList(list);
+      if (adopter.generation() == answer.generation()) {
+        table.onPlatformContact(mutant == Mutant.ANSWERS_COUNT_FROM_ARRIVAL ? now() : sentAt);
+      }
+    }
+
+    private boolean isTrusted() {
+      return trust.decide(table.trustInputs(now())).isTrusted();
+    }
+
+    void call(String keyId) {
+      Optional<Configuration> configuration = adopter.current();
+      if (configuration.isEmpty() || !isTrusted()) {
+        refusedUntrusted++;
+        return;
+      }
+      byte[] secret = secret(keyId);
+      if (KeyVerifier.verify(configuration.get(), keyId, secret).status().accepts()) {
+        history.accepted(now(), process, keyId);
+      }
+    }
+
+    void sessionCall(long[] sessionGeneration) {
+      boolean behind =
+          adopter.isBehind(sessionGeneration[0]) && mutant != Mutant.SESSION_GENERATION_IGNORED;
+      if (adopter.generation() == 0 || behind) {
+        return;
+      }
+      sessionGeneration[0] = adopter.generation();
+      history.served("session", adopter.generation());
+    }
+  }
+
+  private final Random random;
+  private final Mutant mutant;
+  private final EventLoop loop = new EventLoop(START);
+  private final ConfigurationHistory history = new ConfigurationHistory();
+  private final Map<String, Proxy> proxies = new TreeMap<>();
+  private final Set<String> cutOff = new TreeSet<>();
+  private Configuration platform = configuration(1);
+  private VmList vmList;
+  private boolean platformUp = true;
+  private long undisturbedSince = START + 3 * SECOND;
+  private long processes;
+  private long refusedUntrusted;
+
+  GossipSimulation(long seed, Mutant mutant) {
+    this.random = new Random(seed);
+    this.mutant = mutant;
+    Set<VmId> vms = new HashSet<>();
+    for (int index = 0; index < PROXIES; index++) {
+      Proxy proxy = new Proxy(index);
+      proxies.put(proxy.vm.name(), proxy);
+      vms.add(proxy.vm);
+    }
+    vmList = new VmList(1, vms, Set.of());
+  }
+
+  private static byte[] secret(String keyId) {
+    return ("secret of " + keyId).getBytes(StandardCharsets.UTF_8);
+  }
+
+  /** Each generation withdraws one more key. */
+  private static Configuration configuration(long generation) {
+    List<Key> keys = new ArrayList<>();
+    for (int index = 2; index < KEYS; index++) {
+      String id = "k" + index;
+      boolean withdrawn = index <= generation;
+      keys.add(new Key(id, "org", KeyVerifier.sha256(secret(id)), withdrawn));
+    }
+    Declarations declarations =
+        new Declarations(
+            List.of(new Organisation("org", 10, 10)),
+            keys,
+            List.of(),
+            List.of(),
+            List.of(),
+            List.of());
+    return new Configuration(generation, "p" + generation, Instant.EPOCH, declarations);
+  }
+
+  private long now() {
+    return loop.nanoTime();
+  }
+
+  private long delay() {
+    return 300_000L + random.nextInt(1_500_000);
+  }
+
+  private boolean reachesPlatform(Proxy proxy) {
+    return platformUp && !cutOff.contains(proxy.vm.name());
+  }
+
+  private boolean reach(Proxy a, Proxy b) {
+    return cutOff.contains(a.vm.name()) == cutOff.contains(b.vm.name());
+  }
+
+  private void transmit(Proxy from, Proxy to, Runnable body) {
+    transmit(from, to, null, body);
+  }
+
+  /** Delivers a message, an answer only to the process that asked; a few messages are late. */
+  private void transmit(Proxy from, Proxy to, String toProcess, Runnable body) {
+    if (!reach(from, to) || random.nextInt(100) < 2) {
+      return;
+    }
+    long late = random.nextInt(100) < 5 ? random.nextInt(1_500) * MILLI : 0;
+    loop.at(
+        now() + delay() + late,
+        () -> {
+          String process = toProcess == null ? to.process : toProcess;
+          to.onSelf(process, now(), body);
+        });
+  }
+
+  /** Runs a number of seconds. */
+  GossipSimulation run(int seconds) {
+    proxies.values().forEach(Proxy::start);
+    loop.at(START + 4 * SECOND, this::publish);
+    loop.at(START + SECOND, this::calls);
+    long[] sessionGeneration = {0};
+    loop.at(START + SECOND, () -> sessionCalls(sessionGeneration));
+    loop.at(START + 8 * SECOND, this::disturb);
+    loop.runUntil(START + seconds * SECOND);
+    return this;
+  }
+
+  private void publish() {
+    if (platformUp) {
+      long generation = platform.generation() + 1;
+      platform = configuration(generation);
+      history.published(now(), generation, "k" + generation);
+    }
+    loop.at(now() + SECOND + random.nextInt(4_000) * MILLI, this::publish);
+  }
+
+  // Keys that were withdrawn within the last generations are tried at every proxy.
+  private void calls() {
+    for (Proxy proxy : proxies.values()) {
+      long newest = platform.generation();
+      for (long index = Math.max(2, newest - 8); index <= newest + 1; index++) {
+        String keyId = "k" + index;
+        proxy.onSelf(proxy.process, now(), () -> proxy.call(keyId));
+      }
+      if (now() - undisturbedSince >= ConfigurationHistory.SPREAD_BOUND
+          && now() - proxy.startedAt >= ConfigurationHistory.SPREAD_BOUND) {
+        history.connected(now(), proxy.process, proxy.adopter.generation());
+      }
+    }
+    loop.at(now() + 50 * MILLI, this::calls);
+  }
+
+  private void sessionCalls(long[] sessionGeneration) {
+    Proxy proxy = anyProxy();
+    proxy.onSelf(proxy.process, now(), () -> proxy.sessionCall(sessionGeneration));
+    loop.at(now() + 30 * MILLI, () -> sessionCalls(sessionGeneration));
+  }
+
+  private Proxy anyProxy() {
+    return proxies.get("vm-" + random.nextInt(PROXIES));
+  }
+
+  private void disturb() {
+    long length = SECOND + random.nextInt(9_000) * MILLI;
+    switch (random.nextInt(5)) {
+      case 0 -> cutOff(1);
+      case 1 -> cutOff(2);
+      case 2 -> platformUp = false;
+      case 3 -> anyProxy().frozenUntil = now() + length;
+      default -> anyProxy().start();
+    }
+    undisturbedSince = now() + length;
+    loop.at(now() + length, this::recover);
+    loop.at(now() + length + 5 * SECOND + random.nextInt(5_000) * MILLI, this::disturb);
+  }
+
+  private void cutOff(int count) {
+    while (cutOff.size() < count) {
+      cutOff.add("vm-" + random.nextInt(PROXIES));
+    }
+  }
+
+  private void recover() {
+    cutOff.clear();
+    platformUp = true;
+  }
+
+  ConfigurationHistory history() {
+    return history;
+  }
+
+  /** Returns the calls that were refused for lack of trust. */
+  long refusedUntrusted() {
+    return refusedUntrusted;
+  }
+
+  /** Returns the highest generation that was published. */
+  long published() {
+    return platform.generation();
+  }
+}
