Stop trusting a majority while a newer generation is known

Cost: if the only holder of a new generation dies before anybody pulls it and the platform is down, the proxies that know of it refuse requests until either returns.

--- a/core/src/main/java/org/oleanderstep/core/membership/PeerTable.java
+++ b/core/src/main/java/org/oleanderstep/core/membership/PeerTable.java
@@ -156,19 +156,24 @@
             age -> platformContactAt = latest(platformContactAt, receivedAt - age.toNanos()));
   }
 
+  // A majority without the newest generation proves nothing once this process knows that a newer
+  // one exists.
   private void noteMajorityContact(long now) {
     Set<VmId> fleet = fleet();
-    int majority = fleet.size() / 2 + 1;
+    if (fleet.isEmpty() || entries.values().stream().anyMatch(entry -> isAhead(entry.state))) {
+      return;
+    }
     List<Long> contacts = new ArrayList<>();
     if (fleet.contains(self.vm())) {
       contacts.add(now);
     }
     for (VmId vm : fleet) {
       Entry entry = entries.get(vm);
-      if (entry != null && !isAhead(entry.state)) {
+      if (entry != null) {
         contacts.add(entry.madeAt);
       }
     }
+    int majority = fleet.size() / 2 + 1;
     if (contacts.size() >= majority) {
       contacts.sort(Comparator.<Long>comparingLong(time -> time - now).reversed());
       majorityContactAt = latest(majorityContactAt, contacts.get(majority - 1));
--- a/core/src/main/java/org/oleanderstep/core/membership/TrustInputs.java
+++ b/core/src/main/java/org/oleanderstep/core/membership/TrustInputs.java
@@ -9,7 +9,7 @@
  * @param platformContactAge time since the platform confirmed the generation in force, directly or
  *     through peers; empty for never
  * @param majorityContactAge time since this process was last in contact with a majority of the VMs
- *     on the platform's list that had no higher generation; empty for never
+ *     on the platform's list while it knew of no higher generation; empty for never
  */
 public record TrustInputs(
     Optional<Duration> platformContactAge, Optional<Duration> majorityContactAge) {}
