--- a/core/src/main/java/org/oleanderstep/core/membership/PeerTable.java
+++ b/core/src/main/java/org/oleanderstep/core/membership/PeerTable.java
@@ -33,6 +33,9 @@
  */
 public final class PeerTable {
 
+  // Age of a peer that is known only from a request. Any age that counts as recent would be a claim
+  // without proof, and others would relay it.
+  private static final Duration UNPROVED_AGE = Duration.ofDays(365);
   private static final Comparator<VmId> BY_NAME = Comparator.comparing(VmId::name);
 
   private final PeerIdentity self;
@@ -95,7 +98,7 @@
 
   /** Takes over unknown peers of a request, and returns the reply. */
   public PeerDigest onRequest(PeerDigest digest, long now) {
-    long unproved = now - settings.suspectAfter().toNanos() - 1;
+    long unproved = now - UNPROVED_AGE.toNanos();
     introduce(digest.sender(), unproved);
     digest.known().forEach(state -> introduce(state, unproved));
     if (digest.sender().configurationGeneration() > selfState.configurationGeneration()) {
@@ -264,9 +267,14 @@
         .max(Comparator.comparingLong(version));
   }
 
-  /** Returns whether each of the VMs reported at least a generation. */
+  /**
+   * Returns whether each of the VMs reported exactly a generation.
+   *
+   * <p>A higher one does not count: its holder may have skipped this one, and may follow other
+   * rules already.
+   */
   public boolean allReport(Collection<VmId> vms, long generation) {
-    return vms.stream().allMatch(vm -> generationOf(vm) >= generation);
+    return vms.stream().allMatch(vm -> generationOf(vm) == generation);
   }
 
   private long generationOf(VmId vm) {
--- /dev/null
+++ b/core/src/test/java/org/oleanderstep/core/membership/PeerTableTest.java
@@ -0,0 +1,228 @@
+package org.oleanderstep.core.membership;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.oleanderstep.core.model.VmId;
+
+class PeerTableTest {
+
+  private static final long SECOND = 1_000_000_000L;
+  private static final VmId A = new VmId("a");
+  private static final VmId B = new VmId("b");
+  private static final VmId C = new VmId("c");
+
+  private final PeerTable a = table("a", "a1", "x");
+  private final PeerTable b = table("b", "b1", "x");
+  private final PeerTable c = table("c", "c1", "x");
+
+  private static PeerTable table(String vm, String instance, String domain) {
+    return new PeerTable(
+        new PeerIdentity(new VmId(vm), instance, domain, vm + ":1", vm + ":2"),
+        MembershipSettings.DEFAULT);
+  }
+
+  private static void hold(PeerTable table, long generation) {
+    table.updateSelf(new SelfState(generation, 0, true, false, Map.of()));
+  }
+
+  private static void exchange(PeerTable caller, PeerTable called, long sentAt, long receivedAt) {
+    PeerDigest reply = called.onRequest(caller.digest(sentAt), receivedAt);
+    caller.onReply(reply, sentAt, receivedAt);
+  }
+
+  private static void allKnow(VmList list, PeerTable... tables) {
+    for (PeerTable table : tables) {
+      table.onVmList(list);
+    }
+  }
+
+  @Test
+  void should_add_up_ages_over_the_hops() {
+    exchange(b, c, SECOND, SECOND);
+    exchange(a, b, 2 * SECOND, 2 * SECOND);
+    PeerState relayed =
+        a.peers(3 * SECOND).stream().filter(peer -> peer.vm().equals(C)).findFirst().orElseThrow();
+    assertThat(relayed.age()).isEqualTo(Duration.ofSeconds(2));
+  }
+
+  // A request may have waited in a socket buffer during a pause, so it proves nothing.
+  @Test
+  void should_not_take_a_request_for_a_sign_of_life() {
+    a.onRequest(b.digest(0), SECOND);
+    assertThat(a.peers(SECOND)).hasSize(1);
+    assertThat(a.live(SECOND)).isEmpty();
+    exchange(a, b, SECOND, SECOND);
+    assertThat(a.live(SECOND)).hasSize(1);
+  }
+
+  // A peer known from a request only must not look recent to those that hear of it from this one.
+  @Test
+  void should_not_relay_a_request_as_a_sign_of_life() {
+    c.onRequest(b.digest(0), 0);
+    exchange(a, c, SECOND, SECOND);
+    assertThat(a.peers(SECOND)).hasSize(2);
+    assertThat(a.live(SECOND).stream().map(PeerState::vm)).containsExactly(C);
+  }
+
+  @Test
+  void should_suspect_a_peer_that_was_not_heard_of() {
+    exchange(a, b, 0, 0);
+    assertThat(a.live(2 * SECOND)).hasSize(1);
+    assertThat(a.live(3 * SECOND)).isEmpty();
+  }
+
+  @Test
+  void should_replace_the_state_of_a_restarted_process() {
+    exchange(a, b, 0, 0);
+    PeerTable restarted = table("b", "b2", "x");
+    exchange(a, restarted, SECOND, SECOND);
+    exchange(c, b, 0, 0);
+    exchange(a, c, 2 * SECOND, 2 * SECOND);
+    assertThat(
+            a.peers(2 * SECOND).stream()
+                .filter(peer -> peer.vm().equals(B))
+                .map(PeerState::instance))
+        .containsExactly("b2");
+  }
+
+  @Test
+  void should_keep_the_higher_sequence_of_an_instance() {
+    hold(b, 5);
+    exchange(a, b, 0, 0);
+    hold(b, 6);
+    exchange(c, b, SECOND, SECOND);
+    exchange(a, c, 2 * SECOND, 2 * SECOND);
+    assertThat(a.newestConfiguration(2 * SECOND).orElseThrow().configurationGeneration())
+        .isEqualTo(6);
+  }
+
+  @Test
+  void should_relay_contact_to_the_platform_with_its_age() {
+    hold(a, 3);
+    hold(b, 3);
+    b.onPlatformContact(SECOND);
+    exchange(a, b, 3 * SECOND, 3 * SECOND);
+    assertThat(a.trustInputs(4 * SECOND).platformContactAge()).hasValue(Duration.ofSeconds(3));
+  }
+
+  // The peer's contact confirms the peer's generation, not an older one.
+  @Test
+  void should_not_take_over_contact_of_a_peer_with_a_higher_generation() {
+    hold(a, 3);
+    hold(b, 4);
+    b.onPlatformContact(SECOND);
+    exchange(a, b, SECOND, SECOND);
+    assertThat(a.trustInputs(SECOND).platformContactAge()).isEmpty();
+    assertThat(a.newestConfiguration(SECOND).orElseThrow().vm()).isEqualTo(B);
+  }
+
+  @Test
+  void should_count_a_majority_from_its_oldest_contact() {
+    allKnow(new VmList(1, Set.of(A, B, C), Set.of()), a, b, c);
+    exchange(a, b, SECOND, SECOND);
+    assertThat(a.trustInputs(3 * SECOND).majorityContactAge()).hasValue(Duration.ofSeconds(2));
+  }
+
+  @Test
+  void should_not_take_a_minority_for_a_majority() {
+    Set<VmId> vms = Set.of(A, B, C, new VmId("d"), new VmId("e"));
+    allKnow(new VmList(1, vms, Set.of()), a, b);
+    exchange(a, b, SECOND, SECOND);
+    assertThat(a.trustInputs(SECOND).majorityContactAge()).isEmpty();
+  }
+
+  @Test
+  void should_not_trust_a_majority_while_a_newer_generation_is_known() {
+    allKnow(new VmList(1, Set.of(A, B, C), Set.of()), a, b, c);
+    hold(b, 2);
+    exchange(a, b, SECOND, SECOND);
+    exchange(a, c, SECOND, SECOND);
+    assertThat(a.trustInputs(SECOND).majorityContactAge()).isEmpty();
+  }
+
+  @Test
+  void should_tell_whether_all_report_exactly_a_generation() {
+    hold(a, 3);
+    hold(b, 3);
+    exchange(a, b, 0, 0);
+    assertThat(a.allReport(List.of(A, B), 3)).isTrue();
+    assertThat(a.allReport(List.of(A, B, C), 3)).isFalse();
+    hold(b, 4);
+    exchange(a, b, SECOND, SECOND);
+    assertThat(a.allReport(List.of(A, B), 3)).isFalse();
+  }
+
+  @Test
+  void should_forget_an_old_peer_only_when_the_platform_does_not_list_it() {
+    exchange(a, b, 0, 0);
+    exchange(a, c, 31 * SECOND, 31 * SECOND);
+    assertThat(a.peers(31 * SECOND)).hasSize(2);
+    a.onVmList(new VmList(1, Set.of(A, C), Set.of()));
+    exchange(a, c, 32 * SECOND, 32 * SECOND);
+    assertThat(a.peers(32 * SECOND)).hasSize(1);
+  }
+
+  // One watcher fewer than two would leave a domain blind when it dies; more load the platform.
+  @Test
+  void should_elect_two_watchers_for_each_domain() {
+    PeerTable[] tables = new PeerTable[7];
+    for (int i = 0; i < tables.length; i++) {
+      tables[i] = table("vm" + i, "p" + i, i < 5 ? "x" : "y");
+    }
+    for (PeerTable caller : tables) {
+      for (PeerTable called : tables) {
+        if (caller != called) {
+          exchange(caller, called, 0, 0);
+        }
+      }
+    }
+    int watchers = 0;
+    for (PeerTable table : tables) {
+      watchers += WatcherElection.isWatcher(table, 0) ? 1 : 0;
+    }
+    assertThat(watchers).isEqualTo(4);
+    int alone = 0;
+    for (PeerTable table : tables) {
+      alone += WatcherElection.isWatcher(table, 10 * SECOND) ? 1 : 0;
+    }
+    assertThat(alone).isEqualTo(7);
+  }
+
+  @Test
+  void should_choose_two_different_peers_and_in_time_all_of_them() {
+    GossipPlanner planner = new GossipPlanner(new Random(1));
+    List<String> seeds = List.of("b:1", "c:1", "d:1", "a:1");
+    Set<String> chosen = new HashSet<>();
+    for (int round = 0; round < 50; round++) {
+      List<String> peers = planner.nextRound(a, seeds, 0);
+      assertThat(peers).hasSize(2);
+      assertThat(new HashSet<>(peers)).hasSize(2);
+      chosen.addAll(peers);
+    }
+    assertThat(chosen).containsExactly("b:1", "c:1", "d:1");
+  }
+
+  @Test
+  void should_trust_recent_evidence_of_either_kind_only() {
+    TrustPolicy policy = new TrustPolicy(Duration.ofSeconds(4));
+    Optional<Duration> recent = Optional.of(Duration.ofSeconds(4));
+    Optional<Duration> old = Optional.of(Duration.ofMillis(4_001));
+    Optional<Duration> never = Optional.empty();
+    assertThat(policy.decide(new TrustInputs(recent, old)).reason())
+        .isEqualTo(TrustReason.PLATFORM_CONTACT);
+    assertThat(policy.decide(new TrustInputs(old, recent)).reason())
+        .isEqualTo(TrustReason.MAJORITY_CONTACT);
+    assertThat(policy.decide(new TrustInputs(old, never)))
+        .isEqualTo(new TrustDecision(Trust.UNTRUSTED, TrustReason.ISOLATED));
+    assertThat(policy.decide(new TrustInputs(never, never)).reason())
+        .isEqualTo(TrustReason.NEVER_CONFIRMED);
+  }
+}
