Prove reads of callers without a token; keep a defect for each promise

A position of the primary now counts as current at a time only if a majority of members, asked at that time or later, had promised no higher term. StatementRouter in the mode ASK_MEMBERS uses it for unknown sessions; maximum ages use it always.

The check now demands that every acknowledgement rests on a majority of which each member stored the entry before it promised a higher term, which is stricter otherwise: it also finds an acknowledgement without any replica at once.

--- a/core/src/main/java/org/oleanderstep/core/position/ReadNeed.java
+++ b/core/src/main/java/org/oleanderstep/core/position/ReadNeed.java
@@ -28,7 +28,8 @@
    * unknown outcome.
    *
    * @param position the need before; its term is at least that of the unknown write, so that a
-   *     proxy that knows only an older primary does not serve the session
+   *     proxy that knows only an older primary does not serve the session. Index 0 is met by the
+   *     first entry of the term, which a primary writes before it serves.
    */
   record PrimaryOnly(LogPosition position) implements ReadNeed {
 
@@ -39,8 +40,7 @@
 
     @Override
     public boolean isMetBy(LogPosition applied) {
-      // Index 0 stands for the term alone, which the router compares with the primary's term.
-      return position.index() == 0 || applied.compareTo(position) >= 0;
+      return applied.compareTo(position) >= 0;
     }
   }
 }
--- a/core/src/main/java/org/oleanderstep/core/routing/GroupTracker.java
+++ b/core/src/main/java/org/oleanderstep/core/routing/GroupTracker.java
@@ -65,28 +65,55 @@
     published = null;
     member.onStatus(status, askedNanos, nowNanos);
     if (status.role() == MemberRole.PRIMARY && status.term() >= term) {
-      onPrimaryStatus(status, askedNanos);
+      onPrimaryStatus(status);
     } else if (status.term() > term) {
       onTerm(status.term());
     } else if (primary.equals(Optional.of(status.member()))) {
       primary = Optional.empty();
     }
+    provePosition();
   }
 
-  private void onPrimaryStatus(MemberStatus status, long askedNanos) {
+  private void onPrimaryStatus(MemberStatus status) {
     term = status.term();
     boolean acknowledges = status.hasMajority() && status.promisedTerm() <= status.term();
     primary = acknowledges ? Optional.of(status.member()) : Optional.empty();
-    if (acknowledges) {
-      addToHistory(new PositionSample(askedNanos, status.applied()));
+  }
+
+  /** Adds the primary's position with the latest time for which a majority proves it. */
+  private void provePosition() {
+    if (primary.isEmpty()) {
+      return;
+    }
+    long[] asked =
+        members.values().stream()
+            .filter(member -> member.heard && member.promisedTerm <= term)
+            .mapToLong(member -> member.lastAskedNanos)
+            .sorted()
+            .toArray();
+    int majority = members.size() / 2 + 1;
+    if (asked.length < majority) {
+      return;
+    }
+    TrackedMember proved = members.get(primary.get());
+    long since = Math.min(asked[asked.length - majority], proved.lastAskedNanos);
+    if (proved.role == MemberRole.PRIMARY && proved.term == term && proved.isPositionKnown()) {
+      addToHistory(new PositionSample(since, proved.applied));
     }
   }
 
   private void addToHistory(PositionSample sample) {
     PositionSample last = history.peekLast();
-    if (last != null && sample.askedNanos() - last.askedNanos() < HISTORY_SPACING_NANOS) {
+    if (last != null && sample.askedNanos() <= last.askedNanos()) {
       return;
     }
+    history.pollLast();
+    boolean tooClose =
+        !history.isEmpty()
+            && last.askedNanos() - history.peekLast().askedNanos() < HISTORY_SPACING_NANOS;
+    if (last != null && !tooClose) {
+      history.addLast(last);
+    }
     history.addLast(sample);
     if (history.size() > MAX_HISTORY) {
       history.removeFirst();
@@ -151,6 +178,7 @@
     private LogPosition applied = LogPosition.START;
     private MemberRole role = MemberRole.JOINING;
     private long term;
+    private long promisedTerm;
     private boolean leaving;
     private boolean reachable;
     private boolean heard;
@@ -178,6 +206,7 @@
       if (!heard || askedNanos - lastAskedNanos >= 0) {
         role = status.role();
         term = status.term();
+        promisedTerm = status.promisedTerm();
         leaving = status.leaving();
         lastAskedNanos = askedNanos;
       }
@@ -186,7 +215,7 @@
     }
 
     boolean onPosition(String ofIncarnation, LogPosition position, long nowNanos) {
-      boolean known = !incarnation.equals(UNKNOWN_INCARNATION) && ofIncarnation.equals(incarnation);
+      boolean known = isPositionKnown() && ofIncarnation.equals(incarnation);
       if (!known || position.compareTo(applied) <= 0) {
         return false;
       }
@@ -195,6 +224,10 @@
       return true;
     }
 
+    boolean isPositionKnown() {
+      return !incarnation.equals(UNKNOWN_INCARNATION);
+    }
+
     private void measureRate(long nowNanos) {
       long elapsed = nowNanos - rateFromNanos;
       if (elapsed < SHORTEST_RATE_INTERVAL_NANOS) {
--- a/core/src/main/java/org/oleanderstep/core/routing/GroupView.java
+++ b/core/src/main/java/org/oleanderstep/core/routing/GroupView.java
@@ -11,7 +11,7 @@
  *
  * @param term highest term that was seen to have a primary
  * @param primary primary of that term, empty while there is none that can acknowledge writes
- * @param history earlier positions of primaries, oldest first, for reads with a maximum age
+ * @param history proved positions of the primary, oldest first, for reads with a maximum age
  */
 public record GroupView(
     DatabaseId database,
--- a/core/src/main/java/org/oleanderstep/core/routing/PositionSample.java
+++ b/core/src/main/java/org/oleanderstep/core/routing/PositionSample.java
@@ -3,8 +3,11 @@
 import org.oleanderstep.core.position.LogPosition;
 
 /**
- * A position of the primary together with a time at which nothing later had been acknowledged.
+ * A position that includes everything that any primary had acknowledged before a time.
  *
- * @param askedNanos when the request that returned the position was sent
+ * <p>Proved by a majority of members that had promised no higher term when they were asked at that
+ * time or later: no later primary can have acknowledged anything before.
+ *
+ * @param askedNanos the time, on the clock of this proxy
  */
 public record PositionSample(long askedNanos, LogPosition position) {}
--- a/core/src/main/java/org/oleanderstep/core/routing/StatementRouter.java
+++ b/core/src/main/java/org/oleanderstep/core/routing/StatementRouter.java
@@ -19,7 +19,7 @@
  *
  * <p>Reads go to replicas that have what the session needs, so that the primary keeps its capacity
  * for writes. The choice uses what was known of a member, so the caller has to check the position
- * that comes with the answer by {@link ReadNeed#isMetBy(LogPosition)} as well.
+ * that comes with the answer against {@link RouteDecision.Run#atLeast()} as well.
  *
  * <p>Stateless; traffic threads share one instance.
  */
@@ -32,11 +32,33 @@
   private static final long SHORTEST_WAIT_NANOS = 1_000_000L;
   private static final RouteDecision WAIT_FOR_PRIMARY = new RouteDecision.WaitForPrimary();
 
+  private static final RouteDecision ASK_MEMBERS = new RouteDecision.AskMembers();
+
+  /** How reads of sessions are served of which nothing is known. */
+  public enum UnknownSessions {
+    /**
+     * The primary known to this proxy serves at once.
+     *
+     * <p>Within the time that this proxy needs to learn of a new primary, such a session may miss
+     * its own writes.
+     */
+    RUN_ON_KNOWN_PRIMARY,
+    /** The read waits for {@link RouteDecision.AskMembers} first, and may then go to a replica. */
+    ASK_MEMBERS
+  }
+
   private final OutstandingStatements outstanding;
+  private final UnknownSessions unknownSessions;
 
-  /** Creates a router that balances by the given counts. */
+  /** Creates a router that balances by the given counts and serves unknown sessions at once. */
   public StatementRouter(OutstandingStatements outstanding) {
+    this(outstanding, UnknownSessions.RUN_ON_KNOWN_PRIMARY);
+  }
+
+  /** Creates a router that balances by the given counts. */
+  public StatementRouter(OutstandingStatements outstanding, UnknownSessions unknownSessions) {
     this.outstanding = outstanding;
+    this.unknownSessions = unknownSessions;
   }
 
   /** Chooses where a read goes that has just arrived. */
@@ -60,7 +82,7 @@
     if (view.members().isEmpty()) {
       return new RouteDecision.Refuse(NotRunReason.NO_PRIMARY);
     }
-    return runOnPrimary(view, 0);
+    return runOnPrimary(view, LogPosition.START);
   }
 
   private RouteDecision routeRead(
@@ -75,29 +97,37 @@
     }
     LogPosition floor = need.position();
     boolean primaryOnly = need instanceof ReadNeed.PrimaryOnly;
-    if (rule.maxAge().isPresent()) {
-      Optional<LogPosition> since =
-          view.positionSince(arrivedNanos - rule.maxAge().get().toNanos());
-      floor = since.isPresent() ? LogPosition.max(floor, since.get()) : floor;
-      primaryOnly |= since.isEmpty();
-    }
-    if (primaryOnly) {
-      return runOnPrimary(view, floor.term());
+    if (primaryOnly || rule.maxAge().isPresent()) {
+      // What the primary had at arrival also covers writes of unknown outcome.
+      long ageNanos = primaryOnly ? 0 : rule.maxAge().get().toNanos();
+      Optional<LogPosition> proved = view.positionSince(arrivedNanos - ageNanos);
+      if (proved.isEmpty()) {
+        return runWithoutProof(view, floor);
+      }
+      floor = LogPosition.max(floor, proved.get());
     }
     MemberView replica = chooseReplica(view, floor, random);
     if (replica != null) {
-      return runOnReplica(view, replica, floor.term());
+      return runOnReplica(view, replica, floor);
     }
     return waitOrRunOnPrimary(view, floor, mayWait ? rule.maxWait().toNanos() : 0);
   }
 
-  private RouteDecision runOnReplica(GroupView view, MemberView replica, long floorTerm) {
-    MemberView primary = usablePrimary(view, floorTerm);
+  private RouteDecision runWithoutProof(GroupView view, LogPosition floor) {
+    boolean unknown = floor.equals(LogPosition.START);
+    return unknown && unknownSessions == UnknownSessions.ASK_MEMBERS
+        ? ASK_MEMBERS
+        : runOnPrimary(view, floor);
+  }
+
+  private RouteDecision runOnReplica(GroupView view, MemberView replica, LogPosition floor) {
+    MemberView primary = usablePrimary(view, floor.term());
     boolean primaryHelps =
         primary != null
             && !primary.leaving()
             && outstanding.on(replica) - outstanding.on(primary) > PRIMARY_HELPS_ABOVE;
-    return new RouteDecision.Run(primaryHelps ? primary.member() : replica.member(), view.term());
+    MemberView chosen = primaryHelps ? primary : replica;
+    return new RouteDecision.Run(chosen.member(), view.term(), floor);
   }
 
   /** Takes the better of two random replicas that qualify, or returns null if there is none. */
@@ -172,7 +202,7 @@
       }
     }
     if (soonest == null) {
-      return runOnPrimary(view, floor.term());
+      return runOnPrimary(view, floor);
     }
     long limit = Math.min(maxWaitNanos, Math.max(shortest, SHORTEST_WAIT_NANOS));
     return new RouteDecision.WaitFor(soonest.member(), floor, Duration.ofNanos(limit));
@@ -187,11 +217,11 @@
     return (long) (missing * (NANOS_PER_SECOND / member.appliedPerSecond()));
   }
 
-  private static RouteDecision runOnPrimary(GroupView view, long floorTerm) {
-    MemberView primary = usablePrimary(view, floorTerm);
+  private static RouteDecision runOnPrimary(GroupView view, LogPosition floor) {
+    MemberView primary = usablePrimary(view, floor.term());
     return primary == null
         ? WAIT_FOR_PRIMARY
-        : new RouteDecision.Run(primary.member(), view.term());
+        : new RouteDecision.Run(primary.member(), view.term(), floor);
   }
 
   /** Returns the primary, or null if it is unreachable or of a term before the session's. */
--- a/core/src/test/java/org/oleanderstep/core/simulation/History.java
+++ b/core/src/test/java/org/oleanderstep/core/simulation/History.java
@@ -29,6 +29,9 @@
 
   record Promoted(String member, long term, List<Entry> log) implements Event {}
 
+  /** A replica stored the log of a primary up to an index and said so. */
+  record Stored(String member, long term, long index) implements Event {}
+
   /** A primary acknowledged an entry; entries that repeat another one are not listed. */
   record Acknowledged(String member, long term, Entry entry) implements Event {}
 
