--- a/standins/src/test/java/org/oleanderstep/standins/member/GroupFixture.java
+++ b/standins/src/test/java/org/oleanderstep/standins/member/GroupFixture.java
@@ -113,6 +113,18 @@
         url(name) + ";avatica_user=" + USER + ";avatica_password=" + password);
   }
 
+  /** Connects with a client that sends each request once, on a TCP connection of its own. */
+  Connection connectOnce(String name) throws SQLException {
+    return DriverManager.getConnection(
+        url(name)
+            + ";avatica_user="
+            + USER
+            + ";avatica_password="
+            + PASSWORD
+            + ";httpclient_impl="
+            + SocketHttpClient.class.getName());
+  }
+
   String url(String name) {
     return "jdbc:avatica:remote:url=http://127.0.0.1:"
         + members.get(name).sqlAddress().getPort()
