Harden the member stand-in and test it under faults

Faults found by review and by the new tests: - A batch that failed in part kept rows in H2 that were not in the log; a batch is now undone as a whole. - A rebuild of a primary could switch foreign keys on before all entries were applied, so cascades would have run twice; it now waits for the last entry of its log. - Answers of statements that ended during a stop were handed to a stopped event loop; a stop now waits for the workers first. - A transaction above the message limit of the control port would have stopped replication; it is now refused with SQLSTATE 54000.

--- a/standins/src/main/java/org/oleanderstep/standins/member/internal/MemberDatabase.java
+++ b/standins/src/main/java/org/oleanderstep/standins/member/internal/MemberDatabase.java
@@ -19,6 +19,10 @@
 final class MemberDatabase implements AutoCloseable {
 
   private static final int LOCK_TIMEOUT_MILLIS = 1_000;
+
+  /** An entry that meets a lock for longer than this causes a rebuild. */
+  private static final int APPLIER_LOCK_TIMEOUT_MILLIS = 10_000;
+
   private static final String USER = "sa";
 
   private final String url;
@@ -44,6 +48,7 @@
     Connection applier = DriverManager.getConnection(url, USER, "");
     MemberDatabase database = new MemberDatabase(url, applier);
     database.execute("SET REFERENTIAL_INTEGRITY FALSE");
+    database.execute("SET LOCK_TIMEOUT " + APPLIER_LOCK_TIMEOUT_MILLIS);
     applier.setAutoCommit(false);
     return database;
   }
@@ -141,18 +146,18 @@
    * @throws SQLException with SQLSTATE 0A000 if a table has no primary key; that table is dropped
    */
   static void captureNewTables(Connection connection) throws SQLException {
-    for (String[] table : tablesWithoutCapture(connection)) {
-      String name = TableShape.quote(table[0]) + "." + TableShape.quote(table[1]);
+    for (NewTable table : tablesWithoutCapture(connection)) {
+      String name = TableShape.quote(table.schema()) + "." + TableShape.quote(table.name());
       try (Statement statement = connection.createStatement()) {
-        if (table[2] == null) {
+        if (!table.hasKey()) {
           statement.execute("DROP TABLE " + name);
           throw SqlStates.notSupported("tables without a primary key");
         }
         statement.execute(
             "CREATE TRIGGER "
-                + TableShape.quote(table[0])
+                + TableShape.quote(table.schema())
                 + "."
-                + TableShape.quote("CAPTURE_" + table[1])
+                + TableShape.quote("CAPTURE_" + table.name())
                 + " AFTER INSERT, UPDATE, DELETE ON "
                 + name
                 + " FOR EACH ROW CALL '"
@@ -162,8 +167,11 @@
     }
   }
 
-  private static List<String[]> tablesWithoutCapture(Connection connection) throws SQLException {
-    List<String[]> tables = new ArrayList<>();
+  /** A table that lacks the row trigger. */
+  private record NewTable(String schema, String name, boolean hasKey) {}
+
+  private static List<NewTable> tablesWithoutCapture(Connection connection) throws SQLException {
+    List<NewTable> tables = new ArrayList<>();
     try (Statement statement = connection.createStatement();
         ResultSet rows =
             statement.executeQuery(
@@ -178,31 +186,34 @@
                     + " WHERE T.TABLE_TYPE = 'BASE TABLE'"
                     + " AND T.TABLE_SCHEMA <> 'INFORMATION_SCHEMA' AND G.TRIGGER_NAME IS NULL")) {
       while (rows.next()) {
-        tables.add(new String[] {rows.getString(1), rows.getString(2), rows.getString(3)});
+        tables.add(new NewTable(rows.getString(1), rows.getString(2), rows.getString(3) != null));
       }
     }
     return tables;
   }
 
+  /** A column whose values the database generates. */
+  private record IdentityColumn(String schema, String table, String name) {}
+
   /**
    * Prepares the database of a new primary: switches foreign keys on, which replicas don't check
    * since cascaded changes are in the log, and continues identity columns after their highest
    * value, since replicas apply explicit values.
    */
   void enableWrites() throws SQLException {
-    List<String[]> identities = new ArrayList<>();
+    List<IdentityColumn> identities = new ArrayList<>();
     try (Statement statement = applier.createStatement();
         ResultSet rows =
             statement.executeQuery(
                 "SELECT TABLE_SCHEMA, TABLE_NAME, COLUMN_NAME FROM INFORMATION_SCHEMA.COLUMNS"
                     + " WHERE IS_IDENTITY = 'YES' AND TABLE_SCHEMA <> 'INFORMATION_SCHEMA'")) {
       while (rows.next()) {
-        identities.add(new String[] {rows.getString(1), rows.getString(2), rows.getString(3)});
+        identities.add(new IdentityColumn(rows.getString(1), rows.getString(2), rows.getString(3)));
       }
     }
-    for (String[] column : identities) {
-      String table = TableShape.quote(column[0]) + "." + TableShape.quote(column[1]);
-      String name = TableShape.quote(column[2]);
+    for (IdentityColumn column : identities) {
+      String table = TableShape.quote(column.schema()) + "." + TableShape.quote(column.table());
+      String name = TableShape.quote(column.name());
       long next;
       try (Statement statement = applier.createStatement();
           ResultSet rows =
--- a/standins/src/main/java/org/oleanderstep/standins/member/internal/MemberMeta.java
+++ b/standins/src/main/java/org/oleanderstep/standins/member/internal/MemberMeta.java
@@ -4,6 +4,7 @@
 import java.sql.PreparedStatement;
 import java.sql.ResultSet;
 import java.sql.SQLException;
+import java.sql.Savepoint;
 import java.util.ArrayList;
 import java.util.Calendar;
 import java.util.List;
@@ -19,6 +20,7 @@
 import org.apache.calcite.avatica.remote.AvaticaRuntimeException;
 import org.apache.calcite.avatica.remote.ProtobufMeta;
 import org.apache.calcite.avatica.remote.TypedValue;
+import org.h2.api.ErrorCode;
 
 /** Runs the calls of the Avatica protocol on the sessions of a member. */
 final class MemberMeta extends MetaImpl implements ProtobufMeta {
@@ -159,7 +161,7 @@
         () -> {
           session.prepare(statement, sql);
           if (maxRowCount > 0 && statement.prepared() != null) {
-            statement.prepared().setLargeMaxRows(maxRowCount);
+            statement.prepared().setMaxRows(Math.toIntExact(maxRowCount));
           }
           return execute(session, statement, handle, maxRowsInFirstFrame);
         });
@@ -265,14 +267,41 @@
     SqlStatement statement = statement(session, handle);
     return answer(
         () -> {
-          for (List<TypedValue> batch : batches) {
-            bind(statement.prepared(), batch);
-            statement.prepared().addBatch();
+          if (statement.prepared() == null) {
+            throw SqlStates.notSupported("batches of definitions");
           }
-          return executePreparedBatch(session, statement);
+          long[] counts =
+              session.execute(
+                  statement,
+                  () -> executePreparedBatch(session, statement.prepared(), batches),
+                  new long[0]);
+          return new ExecuteBatchResult(counts);
         });
   }
 
+  /**
+   * Runs a batch as a whole or not at all: the session drops the captured changes of a failed
+   * execution, so none of its rows may stay in the database.
+   */
+  private static long[] executePreparedBatch(
+      SqlSession session, PreparedStatement statement, List<List<TypedValue>> batches)
+      throws SQLException {
+    Savepoint start = session.connection().setSavepoint();
+    try {
+      long[] counts = new long[batches.size()];
+      for (int i = 0; i < counts.length; i++) {
+        bind(statement, batches.get(i));
+        counts[i] = statement.executeLargeUpdate();
+      }
+      return counts;
+    } catch (SQLException e) {
+      if (e.getErrorCode() != ErrorCode.DEADLOCK_1) {
+        session.connection().rollback(start);
+      }
+      throw e;
+    }
+  }
+
   @Override
   public ExecuteBatchResult executeBatchProtobuf(
       StatementHandle handle, List<Requests.UpdateBatch> batches) throws NoSuchStatementException {
@@ -287,13 +316,6 @@
     return executeBatch(handle, values);
   }
 
-  private static ExecuteBatchResult executePreparedBatch(SqlSession session, SqlStatement statement)
-      throws SQLException {
-    long[] counts =
-        session.execute(statement, () -> statement.prepared().executeLargeBatch(), new long[] {0});
-    return new ExecuteBatchResult(counts);
-  }
-
   @Override
   public boolean syncResults(StatementHandle handle, QueryState state, long offset) {
     throw new AvaticaRuntimeException(
--- a/standins/src/main/java/org/oleanderstep/standins/member/internal/MemberRuntime.java
+++ b/standins/src/main/java/org/oleanderstep/standins/member/internal/MemberRuntime.java
@@ -39,6 +39,7 @@
   private static final Logger logger = LogManager.getLogger(MemberRuntime.class);
   private static final int DEFAULT_CONNECTIONS = 16;
   private static final int DEFAULT_SLOTS = 2;
+  private static final int MAX_MESSAGE_BYTES = 64 << 20;
   private static final long STOP_TIMEOUT_SECONDS = 5;
 
   private final MemberSettings settings;
@@ -128,6 +129,7 @@
               .workerEventLoopGroup(eventLoops)
               .channelType(NioServerSocketChannel.class)
               .executor(controlWorkers)
+              .maxInboundMessageSize(MAX_MESSAGE_BYTES)
               .addService(new GroupControlService(state))
               .build()
               .start();
@@ -206,18 +208,22 @@
       controlServer.shutdownNow();
     }
     channels.forEach(ManagedChannel::shutdownNow);
+    threads.forEach(Thread::interrupt);
+    workers.shutdown();
     try {
       for (Thread thread : threads) {
-        thread.interrupt();
         thread.join(TimeUnit.SECONDS.toMillis(STOP_TIMEOUT_SECONDS));
       }
-      if (controlServer != null) {
-        controlServer.awaitTermination(STOP_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+      if (controlServer != null
+          && !controlServer.awaitTermination(STOP_TIMEOUT_SECONDS, TimeUnit.SECONDS)) {
+        logger.warn("the control port did not stop within {} s", STOP_TIMEOUT_SECONDS);
+      }
+      if (!workers.awaitTermination(STOP_TIMEOUT_SECONDS, TimeUnit.SECONDS)) {
+        logger.warn("statements still run after {} s", STOP_TIMEOUT_SECONDS);
       }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
-    workers.shutdown();
     controlWorkers.shutdown();
     boolean stopped =
         eventLoops
--- a/standins/src/main/java/org/oleanderstep/standins/member/internal/ReplicationState.java
+++ b/standins/src/main/java/org/oleanderstep/standins/member/internal/ReplicationState.java
@@ -4,6 +4,7 @@
 import com.google.protobuf.util.Durations;
 import java.sql.SQLException;
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -85,7 +86,11 @@
   private long committedIndex;
   private long appliedIndex;
 
-  /** Statements are served once this index is applied. */
+  /**
+   * Statements are served once this index is applied. On a primary it is the last entry of the log
+   * when its database was replaced or its term began, so that foreign keys are switched on only
+   * after all entries that replicas apply without them.
+   */
   private long serveIndex;
 
   private boolean rebuildNeeded = true;
@@ -225,7 +230,7 @@
   private void startRebuild() {
     rebuildNeeded = true;
     epoch++;
-    serveIndex = Math.max(committedIndex, role == Role.PRIMARY ? serveIndex : 0);
+    serveIndex = role == Role.PRIMARY ? log.lastIndex() : committedIndex;
     tickets.values().forEach(ticket -> ticket.complete(false));
     tickets.clear();
     closeSqlConnections.run();
@@ -441,7 +446,7 @@
       held[i++] = peer.matchedIndex();
     }
     held[i] = log.lastIndex();
-    java.util.Arrays.sort(held);
+    Arrays.sort(held);
     long index = held[held.length - majority];
     if (index > committedIndex && log.termAt(index) == term) {
       setCommitted(index);
--- a/standins/src/main/java/org/oleanderstep/standins/member/internal/ResultEncoder.java
+++ b/standins/src/main/java/org/oleanderstep/standins/member/internal/ResultEncoder.java
@@ -11,6 +11,7 @@
 import java.time.LocalDateTime;
 import java.time.LocalTime;
 import java.time.OffsetDateTime;
+import java.time.ZoneId;
 import java.time.ZoneOffset;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -182,7 +183,7 @@
 
   private static long localMillis(Instant instant) {
     return instant
-        .atZone(java.time.ZoneId.systemDefault())
+        .atZone(ZoneId.systemDefault())
         .toLocalDateTime()
         .toInstant(ZoneOffset.UTC)
         .toEpochMilli();
--- a/standins/src/main/java/org/oleanderstep/standins/member/internal/SqlSession.java
+++ b/standins/src/main/java/org/oleanderstep/standins/member/internal/SqlSession.java
@@ -1,5 +1,6 @@
 package org.oleanderstep.standins.member.internal;
 
+import com.google.protobuf.ByteString;
 import io.netty.channel.Channel;
 import java.sql.Connection;
 import java.sql.PreparedStatement;
@@ -25,6 +26,10 @@
 final class SqlSession {
 
   private static final Logger logger = LogManager.getLogger(SqlSession.class);
+
+  /** Well below what the control port takes in one message. */
+  private static final int MAX_ENTRY_BYTES = 16 << 20;
+
   private static final Duration COMMIT_TIMEOUT = Duration.ofSeconds(3);
 
   /** Runs one statement of the session. */
@@ -275,12 +280,18 @@
   }
 
   private CommitTicket propose() throws SQLException {
-    EntryCodec.Rows rows = new EntryCodec.Rows(changes.copy());
+    ByteString payload = EntryCodec.encode(new EntryCodec.Rows(changes.copy()));
     changes.truncate(0);
+    if (payload.size() > MAX_ENTRY_BYTES) {
+      connection.rollback();
+      throw new SQLException(
+          "the transaction changes more than " + MAX_ENTRY_BYTES + " bytes and was rolled back",
+          SqlStates.LIMIT_EXCEEDED);
+    }
     var shared = database.definitionLock().readLock();
     shared.lock();
     try {
-      return state.propose(epoch, EntryCodec.encode(rows), connection::commit);
+      return state.propose(epoch, payload, connection::commit);
     } catch (SQLException e) {
       connection.rollback();
       throw e;
--- a/standins/src/main/java/org/oleanderstep/standins/member/internal/SqlStates.java
+++ b/standins/src/main/java/org/oleanderstep/standins/member/internal/SqlStates.java
@@ -8,6 +8,7 @@
   static final String READ_ONLY = "25006";
   static final String FAILED_TRANSACTION = "25P02";
   static final String TOO_MANY_CONNECTIONS = "53300";
+  static final String LIMIT_EXCEEDED = "54000";
   static final String CANNOT_CONNECT_NOW = "57P03";
   static final String NOT_SUPPORTED = "0A000";
 
--- a/standins/src/test/java/org/oleanderstep/standins/member/GroupFixture.java
+++ b/standins/src/test/java/org/oleanderstep/standins/member/GroupFixture.java
@@ -1,12 +1,18 @@
 package org.oleanderstep.standins.member;
 
+import static com.google.common.truth.Truth.assertThat;
+
 import com.google.protobuf.util.Durations;
+import com.google.protobuf.util.JsonFormat;
 import io.grpc.ManagedChannel;
 import io.grpc.netty.NettyChannelBuilder;
+import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.sql.Connection;
 import java.sql.DriverManager;
@@ -29,6 +35,7 @@
 import org.oleanderstep.schema.v1.MemberSettings;
 import org.oleanderstep.schema.v1.MemberStatus;
 import org.oleanderstep.schema.v1.MemberStatusRequest;
+import org.oleanderstep.schema.v1.Position;
 import org.oleanderstep.schema.v1.PromoteReply;
 import org.oleanderstep.schema.v1.PromoteRequest;
 import org.oleanderstep.schema.v1.Role;
@@ -43,6 +50,7 @@
 
   private final Map<String, MemberSettings> settings = new LinkedHashMap<>();
   private final Map<String, Member> members = new HashMap<>();
+  private final List<Process> processes = new ArrayList<>();
   private final Map<String, ManagedChannel> channels = new HashMap<>();
 
   GroupFixture(Path directory) {
@@ -60,7 +68,7 @@
           MemberSettings.newBuilder()
               .setName(name)
               .setFailureDomain(name)
-              .setSqlAddress("127.0.0.1:0")
+              .setSqlAddress("127.0.0.1:" + freePort())
               .setControlAddress(controls.get(name))
               .setConnections(16)
               .setSlots(4)
@@ -88,6 +96,10 @@
 
   GroupFixture start() {
     settings.keySet().forEach(this::start);
+    return awaitInitialPrimary();
+  }
+
+  GroupFixture awaitInitialPrimary() {
     awaitStatus("a", status -> status.getRole() == Role.PRIMARY && status.getHasMajority());
     return this;
   }
@@ -96,6 +108,34 @@
     members.put(name, Member.start(settings.get(name)));
   }
 
+  /** Starts a member as a process of its own. */
+  Process startProcess(String name) throws IOException {
+    Path file = Path.of(settings.get(name).getDataDirectory() + ".json");
+    Files.writeString(file, JsonFormat.printer().print(settings.get(name)));
+    Process process =
+        new ProcessBuilder(
+                ProcessHandle.current().info().command().orElse("java"),
+                "-Xmx128m",
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-cp",
+                System.getProperty("java.class.path"),
+                "org.oleanderstep.standins.Main",
+                "member",
+                "--settings",
+                file.toString())
+            .redirectError(ProcessBuilder.Redirect.DISCARD)
+            .start();
+    processes.add(process);
+    try (BufferedReader out = process.inputReader(StandardCharsets.UTF_8)) {
+      String line = out.readLine();
+      if (line == null || !line.startsWith("ready")) {
+        throw new IOException("member " + name + " did not start: " + line);
+      }
+    }
+    return process;
+  }
+
   void stop(String name) {
     members.remove(name).close();
   }
@@ -127,10 +167,15 @@
 
   String url(String name) {
     return "jdbc:avatica:remote:url=http://127.0.0.1:"
-        + members.get(name).sqlAddress().getPort()
+        + sqlPort(name)
         + ";serialization=protobuf;authentication=BASIC";
   }
 
+  private int sqlPort(String name) {
+    String address = settings.get(name).getSqlAddress();
+    return Integer.parseInt(address.substring(address.indexOf(':') + 1));
+  }
+
   /** Runs one statement on a connection of its own. */
   void execute(String name, String sql) throws SQLException {
     try (Connection connection = connect(name);
@@ -153,6 +198,22 @@
     }
   }
 
+  /** Fences b and c for a term and promotes the one that received more. */
+  String failOver(long term) {
+    MemberStatus b = fence("b", term, "vm-1").getStatus();
+    MemberStatus c = fence("c", term, "vm-1").getStatus();
+    String chosen = isAfter(c.getReceived(), b.getReceived()) ? "c" : "b";
+    assertThat(promote(chosen, term, "vm-1").getAccepted()).isTrue();
+    awaitStatus(chosen, status -> status.getRole() == Role.PRIMARY);
+    return chosen;
+  }
+
+  static boolean isAfter(Position position, Position other) {
+    return position.getTerm() != other.getTerm()
+        ? position.getTerm() > other.getTerm()
+        : position.getIndex() > other.getIndex();
+  }
+
   /** Returns the control port; the call goes over the network as a proxy's does. */
   GroupControlGrpc.GroupControlBlockingStub control(String name) {
     ManagedChannel channel =
@@ -234,5 +295,6 @@
   public void close() {
     channels.values().forEach(ManagedChannel::shutdownNow);
     members.values().forEach(Member::close);
+    processes.forEach(Process::destroyForcibly);
   }
 }
--- a/standins/src/test/java/org/oleanderstep/standins/member/MemberReplicationTest.java
+++ b/standins/src/test/java/org/oleanderstep/standins/member/MemberReplicationTest.java
@@ -15,7 +15,6 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.oleanderstep.schema.v1.MemberStatus;
-import org.oleanderstep.schema.v1.Position;
 import org.oleanderstep.schema.v1.Role;
 
 /** Terms, fencing, promotion and replication. */
@@ -52,22 +51,6 @@
         });
   }
 
-  private static boolean isAfter(Position position, Position other) {
-    return position.getTerm() != other.getTerm()
-        ? position.getTerm() > other.getTerm()
-        : position.getIndex() > other.getIndex();
-  }
-
-  /** Fences b and c for a term and promotes the one that received more. */
-  private String failOver(long term) {
-    MemberStatus b = group.fence("b", term, "vm-1").getStatus();
-    MemberStatus c = group.fence("c", term, "vm-1").getStatus();
-    String chosen = isAfter(c.getReceived(), b.getReceived()) ? "c" : "b";
-    assertThat(group.promote(chosen, term, "vm-1").getAccepted()).isTrue();
-    group.awaitStatus(chosen, status -> status.getRole() == Role.PRIMARY);
-    return chosen;
-  }
-
   // Guards against H2 commits that no replica holds.
   @Test
   void should_neither_acknowledge_nor_show_a_write_that_no_replica_holds() throws SQLException {
@@ -122,7 +105,7 @@
     long sent = group.status("a").getReceived().getIndex();
     CompletableFuture<Void> insert = insertInBackground("a", "lost");
     group.awaitStatus("a", status -> status.getReceived().getIndex() > sent);
-    String primary = failOver(2);
+    String primary = group.failOver(2);
     group.execute(primary, "INSERT INTO t (v) VALUES ('kept')");
     group.cut("a");
     assertThrows(CompletionException.class, insert::join);
@@ -158,7 +141,7 @@
       group.execute("a", "INSERT INTO t (v) VALUES ('x')");
     }
     group.stop("a");
-    String primary = failOver(2);
+    String primary = group.failOver(2);
     assertThat(primary).isEqualTo("c");
     assertThat(group.count(primary, COUNT)).isEqualTo(20);
     group.execute(primary, "INSERT INTO t (v) VALUES ('y')");
@@ -190,7 +173,7 @@
   // Guards against a second primary of a term after the first one restarted.
   @Test
   void should_refuse_a_late_promotion_after_another_member_leads_the_term() {
-    String primary = failOver(2);
+    String primary = group.failOver(2);
     String other = primary.equals("b") ? "c" : "b";
     group.awaitStatus(other, status -> status.getPrimary().equals(primary));
     assertThat(group.promote(other, 2, "vm-1").getAccepted()).isFalse();
@@ -233,7 +216,7 @@
   void should_continue_identity_columns_after_a_promotion() throws SQLException {
     group.execute("a", "INSERT INTO t (v) VALUES ('x'), ('y'), ('z')");
     group.stop("a");
-    String primary = failOver(2);
+    String primary = group.failOver(2);
     group.execute(primary, "INSERT INTO t (v) VALUES ('next')");
     assertThat(group.count(primary, "SELECT id FROM t WHERE v = 'next'")).isEqualTo(4);
   }
--- a/standins/src/test/java/org/oleanderstep/standins/member/MemberSqlTest.java
+++ b/standins/src/test/java/org/oleanderstep/standins/member/MemberSqlTest.java
@@ -13,6 +13,8 @@
 import java.sql.SQLException;
 import java.sql.Statement;
 import java.sql.Timestamp;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import org.apache.calcite.avatica.AvaticaClientRuntimeException;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -155,6 +157,61 @@
     assertThat(group.count("b", "SELECT COUNT(*) FROM t")).isEqualTo(1);
   }
 
+  // Guards against rows of a batch that stay on the primary without being in the log.
+  @Test
+  void should_undo_a_batch_as_a_whole_when_one_of_its_rows_fails() throws SQLException {
+    try (Connection connection = group.connect("a");
+        PreparedStatement insert = connection.prepareStatement("INSERT INTO t VALUES (?, 'x')")) {
+      connection.setAutoCommit(false);
+      for (int id : new int[] {1, 2, 2, 3}) {
+        insert.setInt(1, id);
+        insert.addBatch();
+      }
+      assertThrows(SQLException.class, insert::executeBatch);
+      connection.commit();
+    }
+    group.awaitApplied("b", "a");
+    assertThat(group.count("a", "SELECT COUNT(*) FROM t")).isEqualTo(0);
+    assertThat(group.count("b", "SELECT COUNT(*) FROM t")).isEqualTo(0);
+  }
+
+  // Guards against a commit of what is left after the database undid the transaction.
+  @Test
+  void should_refuse_to_commit_a_transaction_that_a_deadlock_ended() throws Exception {
+    group.execute("a", "INSERT INTO t VALUES (1, 'x'), (2, 'x')");
+    try (Connection first = group.connectOnce("a");
+        Connection second = group.connectOnce("a")) {
+      first.setAutoCommit(false);
+      second.setAutoCommit(false);
+      update(first, 1, "first");
+      update(second, 2, "second");
+      var other = CompletableFuture.supplyAsync(() -> stateOfUpdate(first, 2, "first"));
+      String state = stateOfUpdate(second, 1, "second");
+      assertThat(List.of(state, other.join())).contains("40001");
+      Connection victim = state.equals("40001") ? second : first;
+      assertThat(stateOfUpdate(victim, 1, "late")).isEqualTo("25P02");
+      // The Avatica driver reports failed commits with this type.
+      AvaticaClientRuntimeException refusal =
+          assertThrows(AvaticaClientRuntimeException.class, victim::commit);
+      assertThat(refusal.getSqlState()).isEqualTo("25P02");
+    }
+  }
+
+  private static void update(Connection connection, int id, String value) throws SQLException {
+    try (Statement statement = connection.createStatement()) {
+      statement.execute("UPDATE t SET v = '" + value + "' WHERE id = " + id);
+    }
+  }
+
+  private static String stateOfUpdate(Connection connection, int id, String value) {
+    try {
+      update(connection, id, value);
+      return "00000";
+    } catch (SQLException e) {
+      return e.getSQLState();
+    }
+  }
+
   @Test
   void should_hide_a_transaction_until_it_commits() throws SQLException {
     try (Connection writer = group.connect("a");
