--- /dev/null
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/target/LeaseRequest.java
@@ -0,0 +1,141 @@
+package org.oleanderstep.proxy.internal.target;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
+import org.oleanderstep.core.model.OrganisationId;
+import org.oleanderstep.core.position.ReadNeed;
+import org.oleanderstep.core.routing.ReadRule;
+import org.oleanderstep.proxy.internal.traffic.TrafficMetrics;
+
+/**
+ * Asks for a connection to the member that may run a statement.
+ *
+ * <p>Fields that change are guarded by the queue that holds the request; it is in one queue at a
+ * time.
+ */
+public final class LeaseRequest {
+
+  private final OrganisationId organisation;
+  private final boolean limited;
+  private final Optional<ReadNeed> need;
+  private final ReadRule rule;
+  private final long deadlineNanos;
+  private final BooleanSupplier callerGone;
+  private final long arrivedNanos = System.nanoTime();
+  private final CompletableFuture<Lease> lease = new CompletableFuture<>();
+  private volatile boolean admitted;
+  private volatile boolean waited;
+  private volatile long term;
+  private volatile TrafficMetrics.Wait wait = TrafficMetrics.Wait.QUEUE;
+
+  private LeaseRequest(
+      OrganisationId organisation,
+      boolean limited,
+      Optional<ReadNeed> need,
+      ReadRule rule,
+      long deadlineNanos,
+      BooleanSupplier callerGone) {
+    this.organisation = organisation;
+    this.limited = limited;
+    this.need = need;
+    this.rule = rule;
+    this.deadlineNanos = deadlineNanos;
+    this.callerGone = callerGone;
+  }
+
+  /** Returns a request for a member that may serve a read. */
+  public static LeaseRequest read(
+      OrganisationId organisation,
+      boolean limited,
+      ReadNeed need,
+      ReadRule rule,
+      long deadlineNanos,
+      BooleanSupplier callerGone) {
+    return new LeaseRequest(
+        organisation, limited, Optional.of(need), rule, deadlineNanos, callerGone);
+  }
+
+  /**
+   * Returns a request for the primary.
+   *
+   * @param limited whether the organisation's rate counts
+   */
+  public static LeaseRequest write(
+      OrganisationId organisation,
+      boolean limited,
+      long deadlineNanos,
+      BooleanSupplier callerGone) {
+    return new LeaseRequest(
+        organisation, limited, Optional.empty(), ReadRule.SESSION, deadlineNanos, callerGone);
+  }
+
+  OrganisationId organisation() {
+    return organisation;
+  }
+
+  boolean limited() {
+    return limited;
+  }
+
+  boolean writes() {
+    return need.isEmpty();
+  }
+
+  Optional<ReadNeed> need() {
+    return need;
+  }
+
+  ReadRule rule() {
+    return rule;
+  }
+
+  long deadlineNanos() {
+    return deadlineNanos;
+  }
+
+  long arrivedNanos() {
+    return arrivedNanos;
+  }
+
+  CompletableFuture<Lease> lease() {
+    return lease;
+  }
+
+  /** Returns whether nobody waits for the answer any more, so that nothing need be sent. */
+  boolean isAbandoned() {
+    return lease.isDone() || callerGone.getAsBoolean();
+  }
+
+  boolean admitted() {
+    return admitted;
+  }
+
+  void setAdmitted() {
+    admitted = true;
+  }
+
+  boolean waited() {
+    return waited;
+  }
+
+  void setWaited() {
+    waited = true;
+  }
+
+  long term() {
+    return term;
+  }
+
+  void setTerm(long value) {
+    term = value;
+  }
+
+  TrafficMetrics.Wait waitKind() {
+    return wait;
+  }
+
+  void setWaitKind(TrafficMetrics.Wait value) {
+    wait = value;
+  }
+}
