--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/target/RequestLog.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/target/RequestLog.java
@@ -1,5 +1,6 @@
 package org.oleanderstep.proxy.internal.target;
 
+import java.nio.ByteBuffer;
 import java.sql.PreparedStatement;
 import java.sql.ResultSet;
 import java.sql.SQLException;
@@ -122,7 +123,7 @@
           new RecordedRequest(
               new RequestFingerprint(rows.getString(1)),
               RecordedRequest.Result.valueOf(rows.getString(2).strip().toUpperCase(Locale.ROOT)),
-              answer == null ? new byte[0] : answer));
+              ByteBuffer.wrap(answer == null ? new byte[0] : answer)));
     }
   }
 
