--- /dev/null
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/CallService.java
@@ -0,0 +1,477 @@
+package org.oleanderstep.proxy.internal.caller;
+
+import java.io.IOException;
+import java.sql.Connection;
+import java.sql.ParameterMetaData;
+import java.sql.PreparedStatement;
+import java.sql.SQLException;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
+import org.apache.calcite.avatica.AvaticaParameter;
+import org.apache.calcite.avatica.ConnectionPropertiesImpl;
+import org.apache.calcite.avatica.Meta;
+import org.apache.calcite.avatica.remote.Service;
+import org.apache.calcite.avatica.remote.TypedValue;
+import org.oleanderstep.core.idempotency.RetryBudget;
+import org.oleanderstep.core.model.NotRunReason;
+import org.oleanderstep.core.model.Outcome;
+import org.oleanderstep.core.position.SessionState;
+import org.oleanderstep.core.position.SessionToken;
+import org.oleanderstep.core.position.TransactionToken;
+import org.oleanderstep.core.routing.StatementClassifier;
+import org.oleanderstep.core.routing.StatementKind;
+import org.oleanderstep.proxy.internal.target.ConnectionState;
+import org.oleanderstep.proxy.internal.target.OutcomeException;
+import org.oleanderstep.proxy.internal.target.ResultCursor;
+import org.oleanderstep.proxy.internal.target.Targets;
+import org.oleanderstep.proxy.internal.target.TrafficContext;
+import org.oleanderstep.proxy.internal.traffic.ControlSnapshot;
+import org.oleanderstep.proxy.internal.traffic.TrafficEvent;
+
+/**
+ * Serves the calls of callers: checks the key, finds session and connection, and runs the call.
+ *
+ * <p>Never blocks; calls to targets run on workers.
+ */
+public final class CallService {
+
+  private static final int RETRY_PERCENT = 10;
+  private static final int MAX_RETRY_CREDIT = 100;
+  private static final Duration RETRY_CREDIT_KEPT = Duration.ofSeconds(10);
+
+  private final TrafficContext context;
+  private final CallerConnections connections;
+  private final Execution execution;
+  private final MetadataCalls metadataCalls;
+  private final Service.RpcMetadataResponse metadata;
+  private final String serverName;
+  private final AtomicInteger inFlight = new AtomicInteger();
+  private volatile boolean refusesAll;
+
+  /** Creates the service. */
+  public CallService(TrafficContext context, Targets targets, InstantSource wallClock) {
+    this.context = context;
+    this.serverName = context.control().snapshot().vm().name();
+    this.metadata = new Service.RpcMetadataResponse(serverName);
+    this.connections =
+        new CallerConnections(
+            context.workers(),
+            context.settings().idleTimeout(),
+            2 * context.settings().maxConnections());
+    this.execution =
+        new Execution(
+            context,
+            targets,
+            wallClock,
+            new RetryBudget(RETRY_PERCENT, MAX_RETRY_CREDIT, RETRY_CREDIT_KEPT, System::nanoTime));
+    this.metadataCalls = new MetadataCalls(execution, metadata);
+  }
+
+  /**
+   * Serves one call; the result never completes exceptionally.
+   *
+   * @param body the Avatica request
+   */
+  CompletableFuture<CallerAnswer> serve(CallerCall call, byte[] body) {
+    long start = System.nanoTime();
+    inFlight.incrementAndGet();
+    CallContext identified;
+    CompletableFuture<Service.Response> result;
+    try {
+      identified = identify(call);
+    } catch (RuntimeException e) {
+      return CompletableFuture.completedFuture(failed(ErrorAnswers.outcomeOf(e), null, start));
+    }
+    try {
+      result = dispatch(identified, parse(body));
+    } catch (RuntimeException e) {
+      result = CompletableFuture.failedFuture(e);
+    }
+    return result.handle(
+        (answer, failure) ->
+            failure == null
+                ? served(answer, identified, start)
+                : failed(ErrorAnswers.outcomeOf(failure), identified, start));
+  }
+
+  private CallerAnswer served(Service.Response answer, CallContext call, long start) {
+    inFlight.decrementAndGet();
+    context.metrics().ended(new Outcome.Served(), Duration.ofNanos(System.nanoTime() - start));
+    return new CallerAnswer(encode(answer), false, token(call));
+  }
+
+  private CallerAnswer failed(Outcome outcome, CallContext call, long start) {
+    inFlight.decrementAndGet();
+    context.metrics().ended(outcome, Duration.ofNanos(System.nanoTime() - start));
+    return new CallerAnswer(
+        encode(ErrorAnswers.of(outcome, serverName)),
+        true,
+        call == null ? Optional.empty() : token(call));
+  }
+
+  private static byte[] encode(Service.Response answer) {
+    return StatementRun.encode(answer);
+  }
+
+  private static Optional<String> token(CallContext call) {
+    long generation = call.snapshot().configuration().map(held -> held.generation()).orElse(0L);
+    return Optional.of(SessionToken.encode(call.session().withGeneration(generation)));
+  }
+
+  private CallContext identify(CallerCall call) {
+    if (refusesAll) {
+      throw OutcomeException.notRun(NotRunReason.STOPPING, "use another proxy");
+    }
+    ControlSnapshot snapshot = context.control().snapshot();
+    CallerIdentity caller = Authenticator.identify(snapshot, call);
+    SessionState session = call.sessionToken().map(this::decode).orElse(SessionState.EMPTY);
+    long generation = snapshot.configuration().orElseThrow().generation();
+    if (session.generation() > generation) {
+      context.control().report(new TrafficEvent.GenerationSeen(session.generation()));
+      throw OutcomeException.notRun(
+          NotRunReason.NOT_READY, "the session has seen a newer configuration; try again");
+    }
+    CallContext identified = new CallContext(call, caller, snapshot, session);
+    if (call.unknownWrite()) {
+      identified.noteUnknownWrite(snapshot);
+    }
+    return identified;
+  }
+
+  private SessionState decode(String token) {
+    SessionToken.Decoded decoded = SessionToken.decode(token);
+    if (decoded instanceof SessionToken.Decoded.Valid valid) {
+      return valid.state();
+    }
+    throw OutcomeException.notRun(NotRunReason.BAD_REQUEST, "the session token is not valid");
+  }
+
+  private static Service.Request parse(byte[] body) {
+    try {
+      return Protocol.TRANSLATION.parseRequest(body);
+    } catch (IOException | RuntimeException e) {
+      throw OutcomeException.notRun(NotRunReason.BAD_REQUEST, "the call is not an Avatica request");
+    }
+  }
+
+  private CompletableFuture<Service.Response> dispatch(CallContext call, Service.Request request) {
+    CallerConnection.Id id =
+        new CallerConnection.Id(
+            call.database(), call.caller().organisation(), ConnectionIds.of(request));
+    if (request instanceof Service.OpenConnectionRequest) {
+      connections.open(id, call);
+      return completed(new Service.OpenConnectionResponse(metadata));
+    }
+    if (request instanceof Service.CloseConnectionRequest) {
+      Optional<CallerConnection> open = connections.remove(id);
+      call.setSession(call.session().withoutTransaction());
+      Service.Response answer = new Service.CloseConnectionResponse(metadata);
+      return open.isEmpty()
+          ? completed(answer)
+          : connections.closeLater(open.get()).thenApply(none -> answer);
+    }
+    CallerConnection connection = connections.get(id, call);
+    return connection.inOrder(() -> onConnection(call, connection, request), context.workers());
+  }
+
+  private static CompletableFuture<Service.Response> completed(Service.Response answer) {
+    return CompletableFuture.completedFuture(answer);
+  }
+
+  private CompletableFuture<Service.Response> onConnection(
+      CallContext call, CallerConnection connection, Service.Request request) {
+    try {
+      if (connection.isClosed()) {
+        throw OutcomeException.notRun(
+            NotRunReason.TRANSACTION_LOST, "the connection was closed meanwhile");
+      }
+      noteForeignTransaction(call, connection);
+      return run(call, connection, request);
+    } catch (CallerConnection.TooManyStatementsException e) {
+      throw OutcomeException.notRun(NotRunReason.BAD_REQUEST, e.getMessage());
+    }
+  }
+
+  /** A transaction of the token that is not open here has ended, or will never be committed. */
+  private static void noteForeignTransaction(CallContext call, CallerConnection connection) {
+    Optional<TransactionToken> claimed = call.session().transaction();
+    if (claimed.isEmpty()) {
+      return;
+    }
+    ControlSnapshot snapshot = call.snapshot();
+    boolean open =
+        claimed.get().vm().equals(snapshot.vm())
+            && claimed.get().instance().equals(snapshot.instance())
+            && connection
+                .transaction()
+                .filter(held -> held.number() == claimed.get().number())
+                .isPresent();
+    if (!open && connection.transaction().isEmpty()) {
+      connection.setTransactionLost(true);
+    }
+  }
+
+  private CompletableFuture<Service.Response> run(
+      CallContext call, CallerConnection connection, Service.Request request) {
+    if (request instanceof Service.CreateStatementRequest) {
+      int id = connection.add(new CallerStatement(""));
+      return completed(new Service.CreateStatementResponse(connection.id().id(), id, metadata));
+    }
+    if (request instanceof Service.CloseStatementRequest close) {
+      return closeStatement(connection, close);
+    }
+    if (request instanceof Service.ConnectionSyncRequest sync) {
+      return sync(call, connection, sync);
+    }
+    if (request instanceof Service.PrepareRequest prepare) {
+      return prepare(call, connection, prepare);
+    }
+    if (request instanceof Service.FetchRequest fetch) {
+      return fetch(call, connection, fetch);
+    }
+    if (request instanceof Service.CommitRequest) {
+      return execution.commit(call, connection, Answers.COMMITTED);
+    }
+    if (request instanceof Service.RollbackRequest) {
+      return execution.rollback(call, connection, Answers.ROLLED_BACK);
+    }
+    if (request instanceof Service.SyncResultsRequest) {
+      throw cursorGone();
+    }
+    Optional<StatementRun> statement = statement(connection, request);
+    if (statement.isPresent()) {
+      return afterClosingCursor(
+          statement.get(), () -> execution.execute(call, connection, statement.get()));
+    }
+    return metadataCalls.answer(call, connection, request);
+  }
+
+  /** The last result of a statement ends when the statement runs again. */
+  private CompletableFuture<Service.Response> afterClosingCursor(
+      StatementRun run, Supplier<CompletableFuture<Service.Response>> next) {
+    if (run.statement().cursor().isEmpty()) {
+      return next.get();
+    }
+    return CompletableFuture.runAsync(run.statement()::closeCursor, context.workers())
+        .thenCompose(none -> next.get());
+  }
+
+  private Optional<StatementRun> statement(CallerConnection connection, Service.Request request) {
+    if (request instanceof Service.PrepareAndExecuteRequest plain) {
+      return Optional.of(
+          builder(connection, plain.statementId)
+              .rows(plain.maxRowCount, frameRows(plain.maxRowsInFirstFrame))
+              .plain(plain.sql));
+    }
+    if (request instanceof Service.ExecuteRequest prepared) {
+      int id = prepared.statementHandle.id;
+      return Optional.of(
+          builder(connection, id)
+              .rows(-1, frameRows(prepared.maxRowCount))
+              .prepared(
+                  preparedText(connection, id, prepared.statementHandle.signature),
+                  prepared.parameterValues));
+    }
+    if (request instanceof Service.PrepareAndExecuteBatchRequest batch) {
+      return Optional.of(builder(connection, batch.statementId).plainBatch(batch.sqlCommands));
+    }
+    if (request instanceof Service.ExecuteBatchRequest batch) {
+      String sql = preparedText(connection, batch.statementId, null);
+      List<List<TypedValue>> rows =
+          batch.hasProtoUpdateBatches()
+              ? StatementRun.rows(batch.getProtoUpdateBatches())
+              : batch.parameterValues;
+      return Optional.of(builder(connection, batch.statementId).preparedBatch(sql, rows));
+    }
+    return Optional.empty();
+  }
+
+  private StatementRun.Builder builder(CallerConnection connection, int statementId) {
+    return new StatementRun.Builder(
+        connection.id().id(), statementId, connection.statement(statementId), metadata);
+  }
+
+  private int frameRows(int wanted) {
+    int most = context.settings().maxRowsPerFrame();
+    return wanted <= 0 ? Math.min(most, 100) : Math.min(wanted, most);
+  }
+
+  /** Returns the text of a prepared statement, also of one that was prepared at another proxy. */
+  private static String preparedText(
+      CallerConnection connection, int statementId, Meta.Signature sent) {
+    CallerStatement statement = connection.statement(statementId);
+    String sentText = sent == null || sent.sql == null ? "" : sent.sql;
+    if (statement.sql().isEmpty() || !(sentText.isEmpty() || sentText.equals(statement.sql()))) {
+      statement.setSql(sentText);
+    }
+    if (statement.sql().isEmpty()) {
+      throw new OutcomeException(
+          new Outcome.Failed("26000", -1, "the statement is not prepared here; prepare it again"));
+    }
+    return statement.sql();
+  }
+
+  private CompletableFuture<Service.Response> closeStatement(
+      CallerConnection connection, Service.CloseStatementRequest request) {
+    Service.Response answer = new Service.CloseStatementResponse(metadata);
+    Optional<CallerStatement> statement = connection.remove(request.statementId);
+    if (statement.isEmpty() || statement.get().cursor().isEmpty()) {
+      return completed(answer);
+    }
+    return CompletableFuture.supplyAsync(
+        () -> {
+          statement.get().closeCursor();
+          return answer;
+        },
+        context.workers());
+  }
+
+  private CompletableFuture<Service.Response> sync(
+      CallContext call, CallerConnection connection, Service.ConnectionSyncRequest request) {
+    ConnectionState before = connection.properties();
+    ConnectionState after = merge(before, request.connProps);
+    if (!before.autoCommit() && after.autoCommit()) {
+      // JDBC commits the open transaction when auto-commit is turned on.
+      return execution
+          .commit(call, connection, Answers.COMMITTED)
+          .thenApply(
+              committed -> {
+                connection.setProperties(after);
+                return synced(after);
+              });
+    }
+    connection.setProperties(after);
+    return completed(synced(after));
+  }
+
+  private static ConnectionState merge(ConnectionState old, Meta.ConnectionProperties sent) {
+    return new ConnectionState(
+        sent.isAutoCommit() == null ? old.autoCommit() : sent.isAutoCommit(),
+        sent.isReadOnly() == null ? old.readOnly() : sent.isReadOnly(),
+        sent.getTransactionIsolation() == null ? old.isolation() : sent.getTransactionIsolation(),
+        sent.getSchema() == null ? old.schema() : sent.getSchema(),
+        sent.getCatalog() == null ? old.catalog() : sent.getCatalog());
+  }
+
+  private Service.Response synced(ConnectionState state) {
+    return new Service.ConnectionSyncResponse(
+        new ConnectionPropertiesImpl(
+            state.autoCommit(),
+            state.readOnly(),
+            state.isolation() == 0 ? Connection.TRANSACTION_READ_COMMITTED : state.isolation(),
+            state.catalog().isEmpty() ? null : state.catalog(),
+            state.schema().isEmpty() ? null : state.schema()),
+        metadata);
+  }
+
+  private CompletableFuture<Service.Response> prepare(
+      CallContext call, CallerConnection connection, Service.PrepareRequest request) {
+    if (request.sql.length() > context.settings().maxStatementBytes()) {
+      throw OutcomeException.notRun(NotRunReason.BAD_REQUEST, "the statement is too long");
+    }
+    int id = connection.add(new CallerStatement(request.sql));
+    return execution.read(
+        call,
+        connection,
+        target -> {
+          PreparedStatement jdbc = target.prepared(request.sql);
+          return new Service.PrepareResponse(
+              new Meta.StatementHandle(connection.id().id(), id, signature(jdbc, request.sql)),
+              metadata);
+        });
+  }
+
+  private static Meta.Signature signature(PreparedStatement jdbc, String sql) throws SQLException {
+    Meta.StatementType type =
+        StatementClassifier.classify(sql) == StatementKind.READ
+            ? Meta.StatementType.SELECT
+            : Meta.StatementType.IS_DML;
+    return ResultCursor.signature(
+        jdbc.getMetaData(), sql, parameters(jdbc.getParameterMetaData()), type);
+  }
+
+  private static List<AvaticaParameter> parameters(ParameterMetaData data) throws SQLException {
+    List<AvaticaParameter> parameters = new ArrayList<>();
+    for (int i = 1; i <= data.getParameterCount(); i++) {
+      parameters.add(
+          new AvaticaParameter(
+              data.isSigned(i),
+              data.getPrecision(i),
+              data.getScale(i),
+              data.getParameterType(i),
+              data.getParameterTypeName(i),
+              data.getParameterClassName(i),
+              "?" + i));
+    }
+    return parameters;
+  }
+
+  private CompletableFuture<Service.Response> fetch(
+      CallContext call, CallerConnection connection, Service.FetchRequest request) {
+    CallerStatement statement =
+        connection.find(request.statementId).orElseThrow(CallService::cursorGone);
+    CallerStatement.Cursor cursor = statement.cursor().orElseThrow(CallService::cursorGone);
+    if (cursor.rows().offset() != request.offset) {
+      throw cursorGone();
+    }
+    return CompletableFuture.supplyAsync(
+        () -> fetch(call, statement, cursor, request), context.workers());
+  }
+
+  private Service.Response fetch(
+      CallContext call,
+      CallerStatement statement,
+      CallerStatement.Cursor cursor,
+      Service.FetchRequest request) {
+    try {
+      cursor.lease().connection().begin(call.remaining(context.settings().statementTimeout()));
+      Meta.Frame frame = cursor.rows().next(frameRows(request.fetchMaxRowCount));
+      if (frame.done) {
+        statement.closeCursor();
+      }
+      return new Service.FetchResponse(frame, false, false, metadata);
+    } catch (SQLException | RuntimeException e) {
+      cursor.lease().connection().markBroken();
+      statement.closeCursor();
+      throw new OutcomeException(
+          new Outcome.Failed("08006", -1, "the member's connection was lost within a result"));
+    }
+  }
+
+  private static OutcomeException cursorGone() {
+    return new OutcomeException(
+        new Outcome.Failed("24000", -1, "the result is not open on this proxy; run it again"));
+  }
+
+  /** Adopts a snapshot: ends what withdrawn keys have open. */
+  public void onSnapshot(ControlSnapshot snapshot) {
+    snapshot.configuration().ifPresent(connections::onConfiguration);
+  }
+
+  /** Closes connections that nobody uses any more; called about once a second. */
+  public void sweep() {
+    connections.sweep(System.nanoTime());
+  }
+
+  /** Rolls back open transactions between statements and refuses all further calls. */
+  public void refuseAll() {
+    refusesAll = true;
+    connections.endTransactions();
+  }
+
+  /** Returns the calls that are not answered yet. */
+  public int inFlight() {
+    return inFlight.get();
+  }
+
+  /** Returns the open transactions of callers. */
+  public int openTransactions() {
+    return connections.openTransactions();
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/CallerCall.java
@@ -0,0 +1,33 @@
+package org.oleanderstep.proxy.internal.caller;
+
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+import org.apache.calcite.avatica.proto.Common;
+import org.oleanderstep.core.model.DatabaseId;
+
+/**
+ * One call as it came over the network; nothing of it has been checked.
+ *
+ * @param properties JDBC properties of the connection, if the client sent them
+ * @param unknownWrite whether a write of the session has an unknown outcome since its token
+ * @param callerGone whether the caller's network connection is closed
+ */
+record CallerCall(
+    DatabaseId database,
+    Optional<Credentials> credentials,
+    Optional<String> sessionToken,
+    boolean unknownWrite,
+    Optional<String> requestId,
+    long deadlineNanos,
+    Optional<Common.ConnectionProperties> properties,
+    BooleanSupplier callerGone) {
+
+  /** Key id and secret of a call. */
+  record Credentials(String keyId, String secret) {
+
+    @Override
+    public String toString() {
+      return "Credentials";
+    }
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/Execution.java
@@ -0,0 +1,664 @@
+package org.oleanderstep.proxy.internal.caller;
+
+import java.io.IOException;
+import java.sql.SQLException;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import org.apache.calcite.avatica.remote.Service;
+import org.oleanderstep.core.idempotency.RecordedRequest;
+import org.oleanderstep.core.idempotency.RepeatDecision;
+import org.oleanderstep.core.idempotency.RequestFailure;
+import org.oleanderstep.core.idempotency.RequestFingerprint;
+import org.oleanderstep.core.idempotency.RequestProgress;
+import org.oleanderstep.core.idempotency.RequestStage;
+import org.oleanderstep.core.idempotency.RetryBudget;
+import org.oleanderstep.core.idempotency.RetryPolicy;
+import org.oleanderstep.core.model.DatabaseId;
+import org.oleanderstep.core.model.NotRunReason;
+import org.oleanderstep.core.model.Outcome;
+import org.oleanderstep.core.position.LogPosition;
+import org.oleanderstep.core.position.ReadNeed;
+import org.oleanderstep.core.position.SessionState;
+import org.oleanderstep.core.position.TransactionToken;
+import org.oleanderstep.core.routing.StatementKind;
+import org.oleanderstep.proxy.internal.target.ConnectionState;
+import org.oleanderstep.proxy.internal.target.Lease;
+import org.oleanderstep.proxy.internal.target.LeaseRequest;
+import org.oleanderstep.proxy.internal.target.OutcomeException;
+import org.oleanderstep.proxy.internal.target.RequestLog;
+import org.oleanderstep.proxy.internal.target.TargetConnection;
+import org.oleanderstep.proxy.internal.target.Targets;
+import org.oleanderstep.proxy.internal.target.TrafficContext;
+import org.oleanderstep.proxy.internal.traffic.Admission;
+import org.oleanderstep.proxy.internal.traffic.TrafficEvent;
+
+/** Runs statements, commits and rollbacks of callers on targets. */
+final class Execution {
+
+  private static final RequestFingerprint COMMIT = RequestFingerprint.of("commit", List.of());
+
+  private final TrafficContext context;
+  private final Targets targets;
+  private final InstantSource wallClock;
+  private final RetryPolicy retries;
+  private final RetryBudget budget;
+  private final Set<DatabaseId> tablesReady = ConcurrentHashMap.newKeySet();
+  private final AtomicLong transactionNumbers = new AtomicLong();
+
+  Execution(TrafficContext context, Targets targets, InstantSource wallClock, RetryBudget budget) {
+    this.context = context;
+    this.targets = targets;
+    this.wallClock = wallClock;
+    this.budget = budget;
+    this.retries = new RetryPolicy(budget);
+  }
+
+  /** Runs a statement or batch. */
+  CompletableFuture<Service.Response> execute(
+      CallContext call, CallerConnection connection, StatementRun run) {
+    if (run.longestText() > context.settings().maxStatementBytes()) {
+      return refused(NotRunReason.BAD_REQUEST, "the statement is too long");
+    }
+    if (!connection.properties().autoCommit()) {
+      return inTransaction(call, connection, run);
+    }
+    StatementKind kind = run.kind();
+    if (kind.writes() && call.caller().requestIdRequired() && call.call().requestId().isEmpty()) {
+      return refused(NotRunReason.REQUEST_ID_REQUIRED, "set one with RequestIds.use");
+    }
+    synchronized (budget) {
+      budget.onFirstAttempt();
+    }
+    return attempt(call, connection, run, kind, new RequestProgress(), false);
+  }
+
+  private static <T> CompletableFuture<T> refused(NotRunReason reason, String detail) {
+    return CompletableFuture.failedFuture(OutcomeException.notRun(reason, detail));
+  }
+
+  private CompletableFuture<Service.Response> attempt(
+      CallContext call,
+      CallerConnection connection,
+      StatementRun run,
+      StatementKind kind,
+      RequestProgress progress,
+      boolean onPrimary) {
+    LeaseRequest request =
+        kind.writes() || onPrimary
+            ? writeRequest(call, true)
+            : readRequest(call, call.caller().limited());
+    return targets
+        .run(
+            call.database(),
+            request,
+            lease -> onLease(call, connection, run, kind, progress, lease))
+        .exceptionallyCompose(
+            failure -> retryOrFail(call, connection, run, kind, progress, failure));
+  }
+
+  private CompletableFuture<Service.Response> retryOrFail(
+      CallContext call,
+      CallerConnection connection,
+      StatementRun run,
+      StatementKind kind,
+      RequestProgress progress,
+      Throwable failure) {
+    Outcome outcome = ErrorAnswers.outcomeOf(failure);
+    if (progress.stage() == RequestStage.RECEIVED && outcome instanceof Outcome.NotRun notRun) {
+      // A refusal before this attempt was sent says nothing about earlier ones.
+      outcome = progress.fail(new RequestFailure.GivenUp(notRun.reason(), notRun.detail()));
+    }
+    boolean hasId = kind.writes() && call.call().requestId().isPresent();
+    if (System.nanoTime() - call.call().deadlineNanos() < 0
+        && mayRetry(new RetryPolicy.Attempt(kind, false, hasId, false), outcome)) {
+      progress.startRetry();
+      context.metrics().repeated();
+      return attempt(call, connection, run, kind, progress, true);
+    }
+    if (outcome instanceof Outcome.Unknown && kind.writes()) {
+      call.noteUnknownWrite(context.control().snapshot());
+    }
+    return CompletableFuture.failedFuture(new OutcomeException(outcome));
+  }
+
+  private boolean mayRetry(RetryPolicy.Attempt attempt, Outcome outcome) {
+    synchronized (budget) {
+      return retries.mayRetry(attempt, outcome);
+    }
+  }
+
+  private LeaseRequest writeRequest(CallContext call, boolean counts) {
+    return LeaseRequest.write(
+        call.caller().organisation(),
+        counts && call.caller().limited(),
+        call.call().deadlineNanos(),
+        call.call().callerGone());
+  }
+
+  private LeaseRequest readRequest(CallContext call, boolean limited) {
+    return LeaseRequest.read(
+        call.caller().organisation(),
+        limited,
+        call.session().need(call.database()),
+        call.caller().readRule(),
+        call.call().deadlineNanos(),
+        call.call().callerGone());
+  }
+
+  /** Runs a statement that commits by itself; on a worker. */
+  private Service.Response onLease(
+      CallContext call,
+      CallerConnection connection,
+      StatementRun run,
+      StatementKind kind,
+      RequestProgress progress,
+      Lease lease) {
+    TargetConnection target = lease.connection();
+    boolean keep = false;
+    try {
+      target.begin(call.remaining(context.settings().statementTimeout()));
+      progress.reach(RequestStage.CONNECTED);
+      Service.Response answer =
+          kind.writes() && call.call().requestId().isPresent()
+              ? runWithId(call, connection, run, progress, target, lease)
+              : runPlain(connection, run, progress, target, lease);
+      progress.reach(RequestStage.ANSWERED);
+      if (!kind.writes()) {
+        checkFresh(call, run, target);
+      }
+      keep = run.statement().cursor().isPresent();
+      noteAnswer(call, lease, kind.writes());
+      return answer;
+    } catch (SQLException | RuntimeException e) {
+      run.statement().setCursor(null);
+      throw failure(call, connection, progress, lease, e);
+    } finally {
+      if (keep) {
+        lease.endStatement(false);
+      } else {
+        lease.release();
+      }
+    }
+  }
+
+  private static Service.Response runPlain(
+      CallerConnection connection,
+      StatementRun run,
+      RequestProgress progress,
+      TargetConnection target,
+      Lease lease)
+      throws SQLException {
+    target.apply(connection.properties().withAutoCommit(true));
+    progress.reach(RequestStage.SENT_WITH_COMMIT);
+    return run.run(lease, true, false);
+  }
+
+  private OutcomeException failure(
+      CallContext call,
+      CallerConnection connection,
+      RequestProgress progress,
+      Lease lease,
+      Exception e) {
+    if (e instanceof OutcomeException known) {
+      return known;
+    }
+    RequestFailure failure =
+        TargetFailures.classify(e, lease.connection(), connection.properties().readOnly());
+    if (failure instanceof RequestFailure.RefusedByTarget) {
+      context
+          .control()
+          .report(
+              new TrafficEvent.MemberRefusedWrite(
+                  call.database(), lease.connection().member(), lease.term()));
+    } else if (lease.connection().isLost()) {
+      context
+          .control()
+          .report(
+              new TrafficEvent.MemberConnectionFailed(
+                  call.database(), lease.connection().member(), lease.connection().incarnation()));
+    }
+    return new OutcomeException(progress.fail(failure));
+  }
+
+  /** A member that was rebuilt since it was chosen may have older data than the session needs. */
+  private static void checkFresh(CallContext call, StatementRun run, TargetConnection target) {
+    if (!meets(call.session().need(call.database()), target.position())) {
+      run.statement().closeCursor();
+      throw OutcomeException.notRun(NotRunReason.NO_CAPACITY, "the member's data was too old");
+    }
+  }
+
+  /** Updates the session by the position of an answer. */
+  private void noteAnswer(CallContext call, Lease lease, boolean wrote) {
+    Optional<LogPosition> position = lease.connection().position();
+    position.ifPresent(
+        seen ->
+            context
+                .control()
+                .report(
+                    new TrafficEvent.PositionSeen(
+                        call.database(),
+                        lease.connection().member(),
+                        lease.connection().incarnation(),
+                        seen)));
+    SessionState session = call.session();
+    if (wrote) {
+      if (position.isPresent()) {
+        call.setSession(session.afterAcknowledgedWrite(call.database(), position.get()));
+      } else {
+        call.noteUnknownWrite(context.control().snapshot());
+      }
+      return;
+    }
+    context.metrics().read(lease.isPrimary());
+    position.ifPresent(seen -> call.setSession(session.afterRead(call.database(), seen)));
+  }
+
+  /** Runs a statement in the transaction that records its request id; on a worker. */
+  private Service.Response runWithId(
+      CallContext call,
+      CallerConnection connection,
+      StatementRun run,
+      RequestProgress progress,
+      TargetConnection target,
+      Lease lease)
+      throws SQLException {
+    String requestId = call.call().requestId().orElseThrow();
+    RequestFingerprint fingerprint = run.fingerprint();
+    ensureTable(call, target);
+    target.apply(connection.properties().withAutoCommit(false));
+    progress.reach(
+        run.kind().undoneByRollback()
+            ? RequestStage.SENT_IN_TRANSACTION
+            : RequestStage.SENT_WITH_COMMIT);
+    RepeatDecision decision =
+        insert(call, target, requestId, fingerprint, RecordedRequest.Result.COMPLETED);
+    if (decision instanceof RepeatDecision.ReturnRecorded recorded) {
+      return run.replay(decode(recorded.recorded()));
+    }
+    if (decision instanceof RepeatDecision.Reject reject) {
+      throw new OutcomeException(reject.outcome());
+    }
+    Service.Response answer = run.run(lease, false, false);
+    if (run.statement().cursor().isPresent()) {
+      run.statement().closeCursor();
+      throw OutcomeException.notRun(
+          NotRunReason.BAD_REQUEST, "a result under a request id must fit into one frame");
+    }
+    byte[] bytes = StatementRun.encode(answer);
+    if (bytes.length > RequestLog.MAX_ANSWER_BYTES) {
+      throw OutcomeException.notRun(NotRunReason.BAD_REQUEST, "the answer is too long to record");
+    }
+    RequestLog.record(target, call.caller().organisation(), requestId, bytes);
+    if (progress.stage() != RequestStage.SENT_WITH_COMMIT) {
+      progress.reach(RequestStage.SENT_WITH_COMMIT);
+    }
+    target.commit();
+    return answer;
+  }
+
+  private static Service.Response decode(RecordedRequest recorded) {
+    byte[] bytes = new byte[recorded.answer().remaining()];
+    recorded.answer().get(bytes);
+    try {
+      return Protocol.TRANSLATION.parseResponse(bytes);
+    } catch (IOException e) {
+      throw new IllegalStateException("a recorded answer cannot be parsed", e);
+    }
+  }
+
+  /**
+   * Inserts a request id in the open transaction and decides by what is there; the transaction is
+   * rolled back unless the request has to run.
+   */
+  private RepeatDecision insert(
+      CallContext call,
+      TargetConnection target,
+      String requestId,
+      RequestFingerprint fingerprint,
+      RecordedRequest.Result result)
+      throws SQLException {
+    boolean inserted;
+    try {
+      inserted =
+          RequestLog.insert(
+              target,
+              call.caller().organisation(),
+              requestId,
+              fingerprint,
+              result,
+              wallClock.instant());
+    } catch (SQLException e) {
+      if (RequestLog.isTableMissing(e)) {
+        tablesReady.remove(call.database());
+      }
+      throw e;
+    }
+    if (inserted) {
+      return new RepeatDecision.Run();
+    }
+    target.rollback();
+    Optional<RecordedRequest> found =
+        RequestLog.find(target, call.caller().organisation(), requestId);
+    target.rollback();
+    if (found.isEmpty()) {
+      throw OutcomeException.notRun(
+          NotRunReason.NO_CAPACITY, "another call with the request id has just ended");
+    }
+    return RepeatDecision.of(found, fingerprint);
+  }
+
+  /** Creates the table of request ids if need be; not within a transaction. */
+  private void ensureTable(CallContext call, TargetConnection target) throws SQLException {
+    if (!tablesReady.contains(call.database())) {
+      target.apply(ConnectionState.RESET);
+      RequestLog.create(target);
+      tablesReady.add(call.database());
+    }
+  }
+
+  private CompletableFuture<Service.Response> inTransaction(
+      CallContext call, CallerConnection connection, StatementRun run) {
+    if (connection.isTransactionLost()) {
+      return refused(NotRunReason.TRANSACTION_LOST, "roll back and run it again");
+    }
+    Optional<CallerConnection.Transaction> open = connection.transaction();
+    if (open.isEmpty()) {
+      if (call.snapshot().leaving()) {
+        return refused(NotRunReason.STOPPING, "begin the transaction at another proxy");
+      }
+      boolean readOnly = connection.properties().readOnly() && !run.kind().writes();
+      LeaseRequest request =
+          readOnly ? readRequest(call, call.caller().limited()) : writeRequest(call, true);
+      return targets.run(
+          call.database(), request, lease -> begin(call, connection, run, lease, readOnly));
+    }
+    return admit(call)
+        .thenApplyAsync(
+            none -> {
+              open.get().lease().startStatement();
+              return runInTransaction(call, connection, run, open.get());
+            },
+            context.workers());
+  }
+
+  private CompletableFuture<Void> admit(CallContext call) {
+    if (!call.caller().limited()) {
+      return CompletableFuture.completedFuture(null);
+    }
+    return context
+        .control()
+        .admit(call.caller().organisation(), call.call().deadlineNanos())
+        .thenAccept(
+            admission -> {
+              if (admission instanceof Admission.Refused refused) {
+                throw OutcomeException.notRun(refused.reason(), refused.detail());
+              }
+            });
+  }
+
+  private Service.Response begin(
+      CallContext call,
+      CallerConnection connection,
+      StatementRun run,
+      Lease lease,
+      boolean readOnly) {
+    CallerConnection.Transaction transaction =
+        new CallerConnection.Transaction(lease, transactionNumbers.incrementAndGet(), readOnly);
+    try {
+      lease.connection().begin(call.remaining(context.settings().statementTimeout()));
+      if (!readOnly && lease.isPrimary()) {
+        // The commit may carry a request id, and its table cannot be created within a transaction.
+        ensureTable(call, lease.connection());
+      }
+      lease.connection().apply(connection.properties());
+    } catch (SQLException | RuntimeException e) {
+      lease.release();
+      throw failure(call, connection, new RequestProgress(), lease, e);
+    }
+    connection.setTransaction(transaction);
+    call.setSession(
+        call.session()
+            .withTransaction(
+                new TransactionToken(
+                    call.snapshot().vm(), call.snapshot().instance(), transaction.number())));
+    return runInTransaction(call, connection, run, transaction);
+  }
+
+  private Service.Response runInTransaction(
+      CallContext call,
+      CallerConnection connection,
+      StatementRun run,
+      CallerConnection.Transaction transaction) {
+    Lease lease = transaction.lease();
+    RequestProgress progress = new RequestProgress();
+    try {
+      lease.connection().begin(call.remaining(context.settings().statementTimeout()));
+      progress.reach(
+          run.kind() == StatementKind.OTHER
+              ? RequestStage.SENT_WITH_COMMIT
+              : RequestStage.SENT_IN_TRANSACTION);
+      run.statement().closeCursor();
+      Service.Response answer = run.run(lease, false, connection.hasOpenCursor());
+      if (connection.isTransactionLost()) {
+        throw OutcomeException.notRun(NotRunReason.TRANSACTION_LOST, "its key was withdrawn");
+      }
+      return answer;
+    } catch (SQLException | RuntimeException e) {
+      OutcomeException failure = failure(call, connection, progress, lease, e);
+      if (lease.connection().isLost() || failure.outcome() instanceof Outcome.NotRun) {
+        lose(call, connection);
+        if (failure.outcome() instanceof Outcome.NotRun) {
+          throw OutcomeException.notRun(
+              NotRunReason.TRANSACTION_LOST, "the member ended the transaction");
+        }
+      }
+      throw failure;
+    } finally {
+      lease.endStatement(lease.connection().isLost());
+    }
+  }
+
+  /** Ends a transaction that cannot go on; the caller has to roll it back. */
+  private static void lose(CallContext call, CallerConnection connection) {
+    Optional<CallerConnection.Transaction> open = connection.transaction();
+    connection.setTransactionLost(true);
+    connection.setTransaction(null);
+    connection.closeCursors();
+    open.ifPresent(
+        transaction -> {
+          transaction.lease().connection().markBroken();
+          transaction.lease().release();
+        });
+    call.setSession(call.session().withoutTransaction());
+  }
+
+  /** Commits the transaction of a connection. */
+  CompletableFuture<Service.Response> commit(
+      CallContext call, CallerConnection connection, Service.Response answer) {
+    Optional<CallerConnection.Transaction> open = connection.transaction();
+    Optional<String> requestId = call.call().requestId();
+    if (open.isPresent()) {
+      if (!open.get().readOnly() && call.caller().requestIdRequired() && requestId.isEmpty()) {
+        return refused(NotRunReason.REQUEST_ID_REQUIRED, "set one for the commit");
+      }
+      return CompletableFuture.supplyAsync(
+              () -> commitOpen(call, connection, open.get(), answer), context.workers())
+          .exceptionallyCompose(failure -> resolveCommit(call, failure, answer));
+    }
+    boolean elsewhere = call.session().transaction().isPresent();
+    if (connection.isTransactionLost() && !(elsewhere && requestId.isPresent())) {
+      connection.setTransactionLost(false);
+      call.setSession(call.session().withoutTransaction());
+      return refused(NotRunReason.TRANSACTION_LOST, "run it again");
+    }
+    connection.setTransactionLost(false);
+    if (!elsewhere) {
+      return CompletableFuture.completedFuture(answer);
+    }
+    call.setSession(call.session().withoutTransaction());
+    call.noteUnknownWrite(context.control().snapshot());
+    Outcome unknown = new Outcome.Unknown("the transaction was held by another proxy");
+    return resolveCommit(call, new OutcomeException(unknown), answer);
+  }
+
+  private Service.Response commitOpen(
+      CallContext call,
+      CallerConnection connection,
+      CallerConnection.Transaction transaction,
+      Service.Response answer) {
+    Lease lease = transaction.lease();
+    TargetConnection target = lease.connection();
+    RequestProgress progress = new RequestProgress();
+    lease.startStatement();
+    try {
+      target.begin(call.remaining(context.settings().statementTimeout()));
+      connection.closeCursors();
+      progress.reach(RequestStage.SENT_IN_TRANSACTION);
+      boolean ranBefore = !transaction.readOnly() && isRepeatedCommit(call, target);
+      if (!ranBefore) {
+        progress.reach(RequestStage.SENT_WITH_COMMIT);
+        target.commit();
+      }
+      noteAnswer(call, lease, !transaction.readOnly());
+      return answer;
+    } catch (SQLException | RuntimeException e) {
+      throw failure(call, connection, progress, lease, e);
+    } finally {
+      connection.setTransaction(null);
+      call.setSession(call.session().withoutTransaction());
+      lease.release();
+    }
+  }
+
+  /** Records the request id of a commit; returns true if the same request committed before. */
+  private boolean isRepeatedCommit(CallContext call, TargetConnection target) throws SQLException {
+    if (call.call().requestId().isEmpty()) {
+      return false;
+    }
+    RepeatDecision decision =
+        insert(
+            call, target, call.call().requestId().get(), COMMIT, RecordedRequest.Result.COMPLETED);
+    if (decision instanceof RepeatDecision.Reject reject) {
+      throw new OutcomeException(reject.outcome());
+    }
+    return decision instanceof RepeatDecision.ReturnRecorded;
+  }
+
+  /** Finds out by its request id what became of a commit whose outcome is unknown. */
+  private CompletableFuture<Service.Response> resolveCommit(
+      CallContext call, Throwable failure, Service.Response answer) {
+    Outcome outcome = ErrorAnswers.outcomeOf(failure);
+    if (!(outcome instanceof Outcome.Unknown)) {
+      return CompletableFuture.failedFuture(new OutcomeException(outcome));
+    }
+    call.noteUnknownWrite(context.control().snapshot());
+    if (call.call().requestId().isEmpty()) {
+      return CompletableFuture.failedFuture(new OutcomeException(outcome));
+    }
+    return targets
+        .run(call.database(), writeRequest(call, false), lease -> abandon(call, lease, answer))
+        .exceptionallyCompose(
+            second -> {
+              Outcome resolved = ErrorAnswers.outcomeOf(second);
+              boolean certain =
+                  resolved instanceof Outcome.NotRun notRun
+                      && notRun.reason() == NotRunReason.TRANSACTION_LOST;
+              return CompletableFuture.failedFuture(
+                  new OutcomeException(certain ? resolved : outcome));
+            });
+  }
+
+  private Service.Response abandon(CallContext call, Lease lease, Service.Response answer) {
+    TargetConnection target = lease.connection();
+    try {
+      target.begin(call.remaining(context.settings().statementTimeout()));
+      ensureTable(call, target);
+      target.apply(ConnectionState.RESET.withAutoCommit(false));
+      String requestId = call.call().requestId().orElseThrow();
+      RepeatDecision decision =
+          insert(call, target, requestId, COMMIT, RecordedRequest.Result.ABANDONED);
+      if (decision instanceof RepeatDecision.Run) {
+        target.commit();
+        decision = RepeatDecision.afterAbandon(Optional.empty(), COMMIT);
+      }
+      noteAnswer(call, lease, true);
+      if (decision instanceof RepeatDecision.Reject reject) {
+        throw new OutcomeException(reject.outcome());
+      }
+      return answer;
+    } catch (SQLException e) {
+      throw new OutcomeException(new Outcome.Unknown("the request id could not be checked"));
+    } finally {
+      lease.release();
+    }
+  }
+
+  /** Rolls the transaction of a connection back. */
+  CompletableFuture<Service.Response> rollback(
+      CallContext call, CallerConnection connection, Service.Response answer) {
+    connection.setTransactionLost(false);
+    call.setSession(call.session().withoutTransaction());
+    Optional<CallerConnection.Transaction> open = connection.transaction();
+    if (open.isEmpty()) {
+      return CompletableFuture.completedFuture(answer);
+    }
+    return CompletableFuture.supplyAsync(
+        () -> {
+          connection.setTransaction(null);
+          connection.closeCursors();
+          // A release rolls back, or closes the connection, which rolls back as well.
+          open.get().lease().release();
+          return answer;
+        },
+        context.workers());
+  }
+
+  /** Runs work that only reads, such as a look-up of metadata, on a member that may serve it. */
+  <T> CompletableFuture<T> read(CallContext call, CallerConnection connection, TargetRead<T> work) {
+    Optional<CallerConnection.Transaction> open = connection.transaction();
+    if (open.isPresent()) {
+      return CompletableFuture.supplyAsync(
+          () -> apply(call, connection, work, open.get().lease()), context.workers());
+    }
+    return targets.run(
+        call.database(),
+        readRequest(call, false),
+        lease -> {
+          try {
+            return apply(call, connection, work, lease);
+          } finally {
+            lease.release();
+          }
+        });
+  }
+
+  private <T> T apply(
+      CallContext call, CallerConnection connection, TargetRead<T> work, Lease lease) {
+    try {
+      lease.connection().begin(call.remaining(context.settings().statementTimeout()));
+      return work.on(lease.connection());
+    } catch (SQLException | RuntimeException e) {
+      RequestProgress progress = new RequestProgress();
+      progress.reach(RequestStage.SENT_WITH_COMMIT);
+      throw failure(call, connection, progress, lease, e);
+    }
+  }
+
+  /** Work that reads on a target connection. */
+  interface TargetRead<T> {
+
+    /** Reads; runs on a worker. */
+    T on(TargetConnection connection) throws SQLException;
+  }
+
+  /** Returns whether a position is what a session needs at least. */
+  private static boolean meets(ReadNeed need, Optional<LogPosition> position) {
+    return position.isEmpty() || need.isMetBy(position.get());
+  }
+}
--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/target/DatabaseTraffic.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/target/DatabaseTraffic.java
@@ -268,14 +268,15 @@
       return;
     }
     member.giveBackUnused(request, connection);
-    admission.whenComplete(
-        (result, failure) -> {
-          if (failure == null) {
-            onAdmission(request, result, Optional.empty(), member);
-          } else {
-            MemberTraffic.refuse(request, NotRunReason.NOT_READY, "admission failed");
-          }
-        });
+    var unused =
+        admission.whenComplete(
+            (result, failure) -> {
+              if (failure == null) {
+                onAdmission(request, result, Optional.empty(), member);
+              } else {
+                MemberTraffic.refuse(request, NotRunReason.NOT_READY, "admission failed");
+              }
+            });
   }
 
   private boolean isCurrent(LeaseRequest request, MemberTraffic member) {
--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/target/ResultCursor.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/target/ResultCursor.java
@@ -170,6 +170,18 @@
     return Meta.Frame.create(first, done, frame);
   }
 
+  /** Returns all rows, for results that are known to be small. */
+  public Meta.Frame all() throws SQLException {
+    List<Object> collected = new ArrayList<>();
+    Meta.Frame frame = next(Integer.MAX_VALUE);
+    frame.rows.forEach(collected::add);
+    while (!frame.done) {
+      frame = next(Integer.MAX_VALUE);
+      frame.rows.forEach(collected::add);
+    }
+    return Meta.Frame.create(0, true, collected);
+  }
+
   private Object[] row() throws SQLException {
     Object[] row = new Object[types.length];
     for (int i = 0; i < types.length; i++) {
--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/target/TargetConnection.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/target/TargetConnection.java
@@ -40,7 +40,6 @@
   private Statement plain;
   private volatile TargetCall call;
   private volatile boolean broken;
-  private LogPosition lastPosition = LogPosition.START;
 
   private TargetConnection(MemberId member, String incarnation, Connection jdbc)
       throws SQLException {
@@ -107,13 +106,15 @@
     return broken || (last != null && last.isLost());
   }
 
-  /** Returns the log position of the member's last answer. */
+  /** Returns the log position of the member's last answer to the present request. */
   public Optional<LogPosition> position() {
     TargetCall last = call;
-    if (last != null) {
-      last.position().map(LogPosition::parse).ifPresent(seen -> lastPosition = seen);
-    }
-    return lastPosition.equals(LogPosition.START) ? Optional.empty() : Optional.of(lastPosition);
+    return last == null ? Optional.empty() : last.position().map(LogPosition::parse);
+  }
+
+  /** Returns the settings that the connection has. */
+  public ConnectionState state() {
+    return state;
   }
 
   /** Changes the settings that differ from the wanted ones. */
@@ -199,10 +200,6 @@
       if (!state.autoCommit()) {
         jdbc.rollback();
       }
-      if (plain != null && plain.getResultSet() != null) {
-        plain.close();
-        plain = null;
-      }
       apply(ConnectionState.RESET);
       return !isLost();
     } catch (SQLException | RuntimeException e) {
--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/traffic/TrafficEvent.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/traffic/TrafficEvent.java
@@ -22,4 +22,7 @@
   /** A member refused a write because it is not the primary of its highest term. */
   record MemberRefusedWrite(DatabaseId database, MemberId member, long term)
       implements TrafficEvent {}
+
+  /** A session's token shows a configuration generation that this proxy does not have yet. */
+  record GenerationSeen(long generation) implements TrafficEvent {}
 }
--- /dev/null
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/traffic/TrafficServer.java
@@ -0,0 +1,161 @@
+package org.oleanderstep.proxy.internal.traffic;
+
+import io.micrometer.core.instrument.MeterRegistry;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.oleanderstep.core.model.DatabaseId;
+import org.oleanderstep.core.model.MemberId;
+import org.oleanderstep.core.scheduling.DrainPlan;
+import org.oleanderstep.proxy.internal.caller.CallService;
+import org.oleanderstep.proxy.internal.caller.CallerServer;
+import org.oleanderstep.proxy.internal.target.TargetAccount;
+import org.oleanderstep.proxy.internal.target.Targets;
+import org.oleanderstep.proxy.internal.target.TrafficContext;
+
+/**
+ * The traffic side of a proxy: the server for callers and the connections to targets.
+ *
+ * <pre>{@code
+ * TrafficServer traffic = TrafficServer.start(control, settings, account, registry);
+ * control.onPublish(traffic::onSnapshot);
+ * }</pre>
+ */
+public final class TrafficServer implements TrafficPlane {
+
+  private static final Logger LOG = LogManager.getLogger(TrafficServer.class);
+  private static final Duration TICK = Duration.ofMillis(5);
+  private static final Duration SWEEP = Duration.ofSeconds(1);
+  private static final Duration DRAIN_CHECK = Duration.ofMillis(20);
+  private static final int EVENT_LOOPS = 2;
+
+  private final EventLoopGroup eventLoops;
+  private final ThreadPoolExecutor workers;
+  private final ScheduledExecutorService timer;
+  private final Targets targets;
+  private final CallService service;
+  private final CallerServer server;
+
+  private TrafficServer(
+      ControlPlane control,
+      TrafficSettings settings,
+      TargetAccount account,
+      MeterRegistry registry,
+      InstantSource wallClock) {
+    eventLoops =
+        new MultiThreadIoEventLoopGroup(
+            EVENT_LOOPS,
+            new DefaultThreadFactory("oleanderstep-callers", true),
+            NioIoHandler.newFactory());
+    workers =
+        new ThreadPoolExecutor(
+            settings.workers(),
+            settings.workers(),
+            60,
+            TimeUnit.SECONDS,
+            new LinkedBlockingQueue<>(),
+            new DefaultThreadFactory("oleanderstep-worker", true));
+    workers.allowCoreThreadTimeOut(true);
+    timer =
+        Executors.newSingleThreadScheduledExecutor(
+            new DefaultThreadFactory("oleanderstep-timer", true));
+    TrafficContext context =
+        new TrafficContext(
+            control, settings, account, workers, this::later, new TrafficMetrics(registry));
+    targets = new Targets(context);
+    service = new CallService(context, targets, wallClock);
+    server = new CallerServer(eventLoops, settings, service);
+  }
+
+  /** Starts to serve callers. */
+  public static TrafficServer start(
+      ControlPlane control,
+      TrafficSettings settings,
+      TargetAccount account,
+      MeterRegistry registry,
+      InstantSource wallClock) {
+    TrafficServer traffic = new TrafficServer(control, settings, account, registry, wallClock);
+    traffic.onSnapshot(control.snapshot());
+    traffic.server.start();
+    traffic.every(TICK, traffic.targets::tick);
+    traffic.every(SWEEP, traffic.service::sweep);
+    return traffic;
+  }
+
+  private void later(Duration delay, Runnable work) {
+    var unused = timer.schedule(() -> guarded(work), delay.toNanos(), TimeUnit.NANOSECONDS);
+  }
+
+  private void every(Duration period, Runnable work) {
+    var unused =
+        timer.scheduleAtFixedRate(
+            () -> guarded(work), period.toNanos(), period.toNanos(), TimeUnit.NANOSECONDS);
+  }
+
+  /** A failure of periodic work must not end the period. */
+  private static void guarded(Runnable work) {
+    try {
+      work.run();
+    } catch (RuntimeException e) {
+      LOG.error("periodic work failed", e);
+    }
+  }
+
+  @Override
+  public void onSnapshot(ControlSnapshot snapshot) {
+    targets.onSnapshot(snapshot);
+    service.onSnapshot(snapshot);
+  }
+
+  @Override
+  public int outstanding(DatabaseId database, MemberId member) {
+    return targets.outstanding(database, member);
+  }
+
+  @Override
+  public int callerPort() {
+    return server.port();
+  }
+
+  @Override
+  public CompletableFuture<Void> drain(Duration drainTime) {
+    server.startDraining();
+    CompletableFuture<Void> done = new CompletableFuture<>();
+    checkDrain(DrainPlan.start(System.nanoTime(), drainTime), done);
+    return done;
+  }
+
+  private void checkDrain(DrainPlan plan, CompletableFuture<Void> done) {
+    DrainPlan.Rule rule =
+        plan.rule(System.nanoTime(), service.openTransactions(), service.inFlight());
+    if (rule == DrainPlan.Rule.DONE) {
+      server.stopAccepting();
+      done.complete(null);
+      return;
+    }
+    if (System.nanoTime() - plan.endsAt() >= 0) {
+      service.refuseAll();
+    }
+    later(DRAIN_CHECK, () -> checkDrain(plan, done));
+  }
+
+  @Override
+  public void close() {
+    server.close();
+    timer.shutdownNow();
+    targets.close();
+    workers.shutdownNow();
+    eventLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly(2_000);
+  }
+}
