--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/CallerConnections.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/CallerConnections.java
@@ -34,7 +34,7 @@
     CallerConnection created = new CallerConnection(id, call.caller(), call.call());
     CallerConnection old = connections.put(id, created);
     if (old != null) {
-      closeLater(old);
+      var unused = closeLater(old);
     }
     return created;
   }
