--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/CallerHandler.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/CallerHandler.java
@@ -36,7 +36,6 @@
 import org.oleanderstep.core.model.NotRunReason;
 import org.oleanderstep.core.model.Outcome;
 import org.oleanderstep.proxy.internal.target.OutcomeException;
-import org.oleanderstep.proxy.internal.traffic.TrafficSettings;
 
 /**
  * Reads the calls of one network connection and writes their answers in the same order. All fields
@@ -51,7 +50,6 @@
   private static final String BASIC = "Basic ";
 
   private final CallService service;
-  private final TrafficSettings settings;
   private final BooleanSupplier draining;
   private final Queue<Pending> waiting = new ArrayDeque<>();
   private boolean busy;
@@ -69,9 +67,8 @@
     }
   }
 
-  CallerHandler(CallService service, TrafficSettings settings, BooleanSupplier draining) {
+  CallerHandler(CallService service, BooleanSupplier draining) {
     this.service = service;
-    this.settings = settings;
     this.draining = draining;
   }
 
--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/CallerServer.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/CallerServer.java
@@ -78,7 +78,7 @@
             new IdleStateHandler(0, 0, settings.idleTimeout().toMillis(), TimeUnit.MILLISECONDS),
             new HttpServerCodec(MAX_INITIAL_LINE, MAX_HEADERS, MAX_CHUNK),
             new HttpObjectAggregator(settings.maxFrameBytes(), true),
-            new CallerHandler(service, settings, () -> draining));
+            new CallerHandler(service, () -> draining));
   }
 
   /** Returns the port that the server listens on. */
--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/ErrorAnswers.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/ErrorAnswers.java
@@ -31,13 +31,19 @@
       return new Outcome.Failed(sqlState(sql), sql.getErrorCode(), message(sql));
     }
     // The exception's message may hold parts of a statement, so only its place is logged.
-    LOG.error("a call failed with {} at {}", cause.getClass().getName(), firstFrame(cause));
+    LOG.error("a call failed with {} at {}", cause.getClass().getName(), origin(cause));
     return new Outcome.Unknown("the proxy met an internal error");
   }
 
-  private static String firstFrame(Throwable cause) {
+  /** Returns where an exception comes from, without its message. */
+  static String origin(Throwable failure) {
+    Throwable cause = failure;
+    while (cause.getCause() != null) {
+      cause = cause.getCause();
+    }
     StackTraceElement[] frames = cause.getStackTrace();
-    return frames.length == 0 ? "an unknown place" : frames[0].toString();
+    String place = frames.length == 0 ? "an unknown place" : frames[0].toString();
+    return cause.getClass().getSimpleName() + " at " + place;
   }
 
   /** Returns the answer for an outcome other than served. */
--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/Execution.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/Execution.java
@@ -27,6 +27,7 @@
 import org.oleanderstep.core.position.TransactionToken;
 import org.oleanderstep.core.routing.StatementKind;
 import org.oleanderstep.proxy.internal.target.ConnectionState;
+import org.oleanderstep.proxy.internal.target.GroupPosition;
 import org.oleanderstep.proxy.internal.target.Lease;
 import org.oleanderstep.proxy.internal.target.LeaseRequest;
 import org.oleanderstep.proxy.internal.target.OutcomeException;
@@ -227,7 +228,8 @@
 
   /** A member that was rebuilt since it was chosen may have older data than the session needs. */
   private static void checkFresh(CallContext call, StatementRun run, TargetConnection target) {
-    if (!meets(call.session().need(call.database()), target.position())) {
+    if (!meets(
+        call.session().need(call.database()), target.position().map(GroupPosition::position))) {
       run.statement().closeCursor();
       throw OutcomeException.notRun(NotRunReason.NO_CAPACITY, "the member's data was too old");
     }
@@ -235,8 +237,8 @@
 
   /** Updates the session by the position of an answer. */
   private void noteAnswer(CallContext call, Lease lease, boolean wrote) {
-    Optional<LogPosition> position = lease.connection().position();
-    position.ifPresent(
+    Optional<GroupPosition> answered = lease.connection().position();
+    answered.ifPresent(
         seen ->
             context
                 .control()
@@ -244,8 +246,9 @@
                     new TrafficEvent.PositionSeen(
                         call.database(),
                         lease.connection().member(),
-                        lease.connection().incarnation(),
-                        seen)));
+                        seen.incarnation(),
+                        seen.position())));
+    Optional<LogPosition> position = answered.map(GroupPosition::position);
     SessionState session = call.session();
     if (wrote) {
       if (position.isPresent()) {
--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/TargetFailures.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/TargetFailures.java
@@ -1,6 +1,8 @@
 package org.oleanderstep.proxy.internal.caller;
 
 import java.sql.SQLException;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.oleanderstep.client.internal.NotSentException;
 import org.oleanderstep.core.idempotency.RequestFailure;
 import org.oleanderstep.core.model.NotRunReason;
@@ -9,6 +11,7 @@
 /** Tells what an exception of a target's driver means. */
 final class TargetFailures {
 
+  private static final Logger LOG = LogManager.getLogger(TargetFailures.class);
   private static final String READ_ONLY_MEMBER = "25006";
   private static final String NOT_SERVING = "57P03";
   private static final String NO_CONNECTION_LEFT = "53300";
@@ -33,6 +36,11 @@
       return ofDatabase(sql, readOnly);
     }
     connection.markBroken();
+    LOG.error(
+        "the driver of member {} failed with {} at {}",
+        connection.member(),
+        e.getClass().getName(),
+        ErrorAnswers.origin(e));
     return new RequestFailure.ConnectionLost("the driver of the target failed");
   }
 
--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/target/TargetConnection.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/target/TargetConnection.java
@@ -16,7 +16,6 @@
 import org.oleanderstep.client.TargetCall;
 import org.oleanderstep.client.TargetHttpClient;
 import org.oleanderstep.core.model.MemberId;
-import org.oleanderstep.core.position.LogPosition;
 
 /**
  * A JDBC connection to one incarnation of a member, used by one request or transaction at a time.
@@ -107,9 +106,9 @@
   }
 
   /** Returns the log position of the member's last answer to the present request. */
-  public Optional<LogPosition> position() {
+  public Optional<GroupPosition> position() {
     TargetCall last = call;
-    return last == null ? Optional.empty() : last.position().map(LogPosition::parse);
+    return last == null ? Optional.empty() : last.position().flatMap(GroupPosition::parse);
   }
 
   /** Returns the settings that the connection has. */
--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/traffic/TrafficEvent.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/traffic/TrafficEvent.java
@@ -9,7 +9,7 @@
 
   /**
    * An answer carried a log position. The member had applied everything up to it, on the
-   * incarnation that its connection is bound to.
+   * incarnation that the answer names.
    */
   record PositionSeen(
       DatabaseId database, MemberId member, String incarnation, LogPosition position)
--- /dev/null
+++ b/proxy/src/test/java/org/oleanderstep/proxy/internal/traffic/TestGroup.java
@@ -0,0 +1,122 @@
+package org.oleanderstep.proxy.internal.traffic;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Path;
+import java.sql.Connection;
+import java.sql.DriverManager;
+import java.sql.SQLException;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.oleanderstep.schema.v1.MemberPeer;
+import org.oleanderstep.schema.v1.MemberSettings;
+import org.oleanderstep.schema.v1.Role;
+import org.oleanderstep.standins.member.Member;
+
+/** Three stand-in members a, b and c in this process; a is the primary. */
+final class TestGroup implements AutoCloseable {
+
+  static final String USER = "proxy";
+  static final String PASSWORD = "secret";
+  static final int CONNECTIONS = 40;
+  static final int SLOTS = 16;
+  private static final long WAIT_NANOS = 10_000_000_000L;
+
+  private final Map<String, Member> members = new LinkedHashMap<>();
+
+  TestGroup(Path directory) {
+    List<String> names = List.of("a", "b", "c");
+    Map<String, String> controls = new HashMap<>();
+    names.forEach(name -> controls.put(name, "127.0.0.1:" + freePort()));
+    for (String name : names) {
+      MemberSettings.Builder settings =
+          MemberSettings.newBuilder()
+              .setName(name)
+              .setFailureDomain(name)
+              .setSqlAddress("127.0.0.1:0")
+              .setControlAddress(controls.get(name))
+              .setConnections(CONNECTIONS)
+              .setSlots(SLOTS)
+              .setDataDirectory(directory.resolve(name).toString())
+              .setInitialPrimary("a")
+              .setUser(USER)
+              .setPassword(PASSWORD);
+      names.stream()
+          .filter(other -> !other.equals(name))
+          .forEach(
+              other ->
+                  settings.addPeers(
+                      MemberPeer.newBuilder()
+                          .setName(other)
+                          .setControlAddress(controls.get(other))));
+      members.put(name, Member.start(settings.build()));
+    }
+    awaitPrimary();
+  }
+
+  private void awaitPrimary() {
+    long end = System.nanoTime() + WAIT_NANOS;
+    while (!hasPrimary()) {
+      if (System.nanoTime() - end > 0) {
+        throw new IllegalStateException("the group has no primary with a majority");
+      }
+      Thread.onSpinWait();
+    }
+  }
+
+  private boolean hasPrimary() {
+    var status = members.get("a").status();
+    return status.getRole() == Role.PRIMARY && status.getHasMajority();
+  }
+
+  private static int freePort() {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return socket.getLocalPort();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  Map<String, Member> members() {
+    return members;
+  }
+
+  String url(String name) {
+    return "jdbc:avatica:remote:url=http://127.0.0.1:"
+        + members.get(name).sqlAddress().getPort()
+        + ";serialization=protobuf;authentication=BASIC";
+  }
+
+  /** Connects to a member directly, without a proxy. */
+  Connection connect(String name) throws SQLException {
+    return DriverManager.getConnection(
+        url(name) + ";avatica_user=" + USER + ";avatica_password=" + PASSWORD);
+  }
+
+  /** Runs a statement on the primary directly. */
+  void execute(String sql) throws SQLException {
+    try (Connection connection = connect("a");
+        var statement = connection.createStatement()) {
+      statement.execute(sql);
+    }
+  }
+
+  /** Returns the number that a query yields on the primary. */
+  long number(String sql) throws SQLException {
+    try (Connection connection = connect("a");
+        var statement = connection.createStatement();
+        var rows = statement.executeQuery(sql)) {
+      rows.next();
+      return rows.getLong(1);
+    }
+  }
+
+  @Override
+  public void close() {
+    members.values().forEach(Member::close);
+  }
+}
