--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/traffic/TrafficEvent.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/traffic/TrafficEvent.java
@@ -9,7 +9,7 @@
 
   /**
    * An answer carried a log position. The member had applied everything up to it, on the
-   * incarnation that its connection is bound to.
+   * incarnation that the answer names.
    */
   record PositionSeen(
       DatabaseId database, MemberId member, String incarnation, LogPosition position)
@@ -22,4 +22,7 @@
   /** A member refused a write because it is not the primary of its highest term. */
   record MemberRefusedWrite(DatabaseId database, MemberId member, long term)
       implements TrafficEvent {}
+
+  /** A session's token shows a configuration generation that this proxy does not have yet. */
+  record GenerationSeen(long generation) implements TrafficEvent {}
 }
