--- /dev/null
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/platform/PlatformClient.java
@@ -0,0 +1,248 @@
+package org.oleanderstep.proxy.internal.platform;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import com.google.protobuf.Message;
+import com.google.protobuf.util.JsonFormat;
+import java.net.URI;
+import java.net.URLEncoder;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpRequest.BodyPublishers;
+import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.Executor;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import org.oleanderstep.schema.v1.ObjectList;
+import org.oleanderstep.schema.v1.VmList;
+
+/**
+ * Calls to the platform.
+ *
+ * <pre>{@code
+ * client.get("configuration/current").thenAccept(object -> ...);
+ * }</pre>
+ *
+ * <p>Calls without an answer are repeated within the budget of {@link RetrySettings}. Updates are
+ * conditional, so a repetition never takes effect twice, but it may report a conflict with the
+ * caller's own earlier attempt; {@link ConditionalPublisher} resolves that.
+ */
+public final class PlatformClient {
+
+  private static final String VM_HEADER = "Oleanderstep-Vm";
+  private static final int OK = 200;
+  private static final int NOT_MODIFIED = 304;
+  private static final int NOT_FOUND = 404;
+  private static final int PRECONDITION_FAILED = 412;
+  private static final int SERVER_ERRORS = 500;
+
+  private final HttpClient http;
+  private final URI url;
+  private final Duration timeout;
+  private final RetrySettings retries;
+  private final String vm;
+
+  /**
+   * Creates a client.
+   *
+   * @param url address of the platform, as in {@code http://10.0.0.5:8700}
+   * @param timeout time for one attempt
+   * @param vm name of the VM the calls come from, or a name for the operator
+   */
+  public PlatformClient(URI url, Duration timeout, RetrySettings retries, String vm) {
+    this.url = url;
+    this.timeout = timeout;
+    this.retries = retries;
+    this.vm = vm;
+    this.http =
+        HttpClient.newBuilder()
+            .version(HttpClient.Version.HTTP_1_1)
+            .connectTimeout(timeout)
+            .build();
+  }
+
+  /** Reads an object; empty if it does not exist. */
+  public CompletableFuture<Optional<PlatformObject>> get(String name) {
+    return withRetries(
+        () ->
+            send(name, request(objectPath(name)).GET(), timeout)
+                .thenApply(
+                    response ->
+                        response.statusCode() == NOT_FOUND
+                            ? Optional.empty()
+                            : Optional.of(object(requireOk(name, response)))));
+  }
+
+  /** Creates an object that must not exist yet, and returns its version. */
+  public CompletableFuture<Long> create(String name, ByteString value) {
+    return update(name, request(objectPath(name)).header("If-None-Match", "*").PUT(body(value)));
+  }
+
+  /** Replaces the value of an object that must have the given version; returns the new one. */
+  public CompletableFuture<Long> replace(String name, long version, ByteString value) {
+    return update(
+        name, request(objectPath(name)).header("If-Match", etag(version)).PUT(body(value)));
+  }
+
+  /** Deletes an object that must have the given version. */
+  public CompletableFuture<Long> delete(String name, long version) {
+    return update(name, request(objectPath(name)).header("If-Match", etag(version)).DELETE());
+  }
+
+  /**
+   * Waits until an object differs from a version, at most for the given time. Never repeats by
+   * itself.
+   *
+   * @param version version that the caller has, or 0 if it has seen no such object
+   */
+  public CompletableFuture<WatchAnswer> watch(String name, long version, Duration wait) {
+    String path =
+        objectPath(name) + "?waitAfter=" + version + "&timeoutMs=" + Math.max(1, wait.toMillis());
+    return send(name, request(path).GET(), timeout.plus(wait))
+        .thenApply(
+            response ->
+                switch (response.statusCode()) {
+                  case NOT_MODIFIED -> new WatchAnswer.Unchanged();
+                  case NOT_FOUND -> new WatchAnswer.Deleted();
+                  default -> new WatchAnswer.Changed(object(requireOk(name, response)));
+                });
+  }
+
+  /** Returns the names and versions of the objects under a prefix. */
+  public CompletableFuture<ObjectList> list(String prefix) {
+    String path = "/objects?prefix=" + URLEncoder.encode(prefix, StandardCharsets.UTF_8);
+    return readJson(path, ObjectList::newBuilder).thenApply(m -> (ObjectList) m);
+  }
+
+  /** Returns the list of VMs. */
+  public CompletableFuture<VmList> vms() {
+    return readJson("/vms", VmList::newBuilder).thenApply(m -> (VmList) m);
+  }
+
+  private CompletableFuture<Message> readJson(String path, Supplier<Message.Builder> newBuilder) {
+    return withRetries(
+        () ->
+            send(path, request(path).GET(), timeout)
+                .thenApply(r -> parse(requireOk(path, r), newBuilder.get())));
+  }
+
+  private static Message parse(HttpResponse<byte[]> response, Message.Builder builder) {
+    try {
+      String json = new String(response.body(), StandardCharsets.UTF_8);
+      JsonFormat.parser().ignoringUnknownFields().merge(json, builder);
+      return builder.build();
+    } catch (InvalidProtocolBufferException e) {
+      throw new PlatformException.Unavailable("the answer is not readable", e);
+    }
+  }
+
+  private CompletableFuture<Long> update(String name, HttpRequest.Builder request) {
+    return withRetries(
+        () -> send(name, request, timeout).thenApply(r -> version(requireOk(name, r))));
+  }
+
+  private HttpRequest.Builder request(String path) {
+    return HttpRequest.newBuilder(URI.create(url + path)).header(VM_HEADER, vm);
+  }
+
+  private CompletableFuture<HttpResponse<byte[]>> send(
+      String name, HttpRequest.Builder request, Duration limit) {
+    return http.sendAsync(request.timeout(limit).build(), BodyHandlers.ofByteArray())
+        .handle(
+            (response, failure) -> {
+              if (failure != null) {
+                Throwable cause = rootCause(failure);
+                throw new PlatformException.Unavailable(name + ": " + cause, cause);
+              }
+              if (response.statusCode() >= SERVER_ERRORS) {
+                throw new PlatformException.Unavailable(
+                    name + ": status " + response.statusCode(), null);
+              }
+              return response;
+            });
+  }
+
+  private static HttpResponse<byte[]> requireOk(String name, HttpResponse<byte[]> response) {
+    return switch (response.statusCode()) {
+      case OK -> response;
+      case NOT_FOUND -> throw new PlatformException.NotFound(name);
+      case PRECONDITION_FAILED -> throw new PlatformException.Conflict(name);
+      default ->
+          throw new PlatformException.Rejected(
+              name, response.statusCode(), new String(response.body(), StandardCharsets.UTF_8));
+    };
+  }
+
+  private <T> CompletableFuture<T> withRetries(Supplier<CompletableFuture<T>> call) {
+    return attempt(call, System.nanoTime(), retries.firstDelay());
+  }
+
+  private <T> CompletableFuture<T> attempt(
+      Supplier<CompletableFuture<T>> call, long firstNanos, Duration delay) {
+    Function<Throwable, CompletableFuture<T>> onFailure =
+        failure -> {
+          boolean spent = System.nanoTime() - firstNanos >= retries.budget().toNanos();
+          if (spent || !(rootCause(failure) instanceof PlatformException.Unavailable)) {
+            return CompletableFuture.failedFuture(rootCause(failure));
+          }
+          Duration next = min(delay.multipliedBy(2), retries.maxDelay());
+          return CompletableFuture.supplyAsync(() -> null, delayed(jittered(delay)))
+              .thenCompose(ignored -> attempt(call, firstNanos, next));
+        };
+    return call.get().exceptionallyCompose(onFailure);
+  }
+
+  private static Executor delayed(Duration delay) {
+    return CompletableFuture.delayedExecutor(delay.toNanos(), TimeUnit.NANOSECONDS);
+  }
+
+  /** Returns a random delay from half to one and a half of the given one. */
+  private static Duration jittered(Duration delay) {
+    double factor = 0.5 + ThreadLocalRandom.current().nextDouble();
+    return Duration.ofNanos((long) (delay.toNanos() * factor));
+  }
+
+  private static Duration min(Duration a, Duration b) {
+    return a.compareTo(b) <= 0 ? a : b;
+  }
+
+  /** Returns what a failed future of this client failed with. */
+  static Throwable rootCause(Throwable failure) {
+    return failure instanceof CompletionException && failure.getCause() != null
+        ? failure.getCause()
+        : failure;
+  }
+
+  private static PlatformObject object(HttpResponse<byte[]> response) {
+    return new PlatformObject(version(response), ByteString.copyFrom(response.body()));
+  }
+
+  private static long version(HttpResponse<byte[]> response) {
+    String etag = response.headers().firstValue("ETag").orElse("");
+    try {
+      return Long.parseLong(etag.substring(1, etag.length() - 1));
+    } catch (IndexOutOfBoundsException | NumberFormatException e) {
+      throw new PlatformException.Unavailable("the answer has no version: " + etag, e);
+    }
+  }
+
+  private static HttpRequest.BodyPublisher body(ByteString value) {
+    return BodyPublishers.ofByteArray(value.toByteArray());
+  }
+
+  private static String objectPath(String name) {
+    return "/objects/" + name;
+  }
+
+  private static String etag(long version) {
+    return "\"" + version + "\"";
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/platform/PlatformObject.java
@@ -0,0 +1,10 @@
+package org.oleanderstep.proxy.internal.platform;
+
+import com.google.protobuf.ByteString;
+
+/**
+ * An object as it was read.
+ *
+ * @param version version of the value, for conditional updates
+ */
+public record PlatformObject(long version, ByteString value) {}
--- /dev/null
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/platform/RetrySettings.java
@@ -0,0 +1,32 @@
+package org.oleanderstep.proxy.internal.platform;
+
+import java.time.Duration;
+
+/**
+ * How calls without an answer are repeated.
+ *
+ * @param budget time since the first attempt after which no attempt starts
+ * @param firstDelay mean delay before the first repetition; it doubles with each one
+ * @param maxDelay longest mean delay
+ */
+public record RetrySettings(Duration budget, Duration firstDelay, Duration maxDelay) {
+
+  /** Makes each call once. */
+  public static final RetrySettings NONE =
+      new RetrySettings(Duration.ZERO, Duration.ofMillis(50), Duration.ofMillis(50));
+
+  /** For commands that an operator waits for. */
+  public static final RetrySettings INTERACTIVE =
+      new RetrySettings(Duration.ofSeconds(10), Duration.ofMillis(50), Duration.ofSeconds(1));
+
+  /** Checks that the delays are positive. */
+  public RetrySettings {
+    if (budget.isNegative()) {
+      throw new IllegalArgumentException("budget must not be negative: " + budget);
+    }
+    if (firstDelay.toNanos() < 1 || maxDelay.compareTo(firstDelay) < 0) {
+      throw new IllegalArgumentException(
+          "firstDelay must be positive and at most maxDelay: " + firstDelay + ", " + maxDelay);
+    }
+  }
+}
