--- /dev/null
+++ b/cli/src/main/java/org/oleanderstep/cli/CheckCommand.java
@@ -0,0 +1,61 @@
+package org.oleanderstep.cli;
+
+import com.github.rvesse.airline.annotations.AirlineModule;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.help.Examples;
+import org.oleanderstep.proxy.internal.declarations.DeclarationsDirectory;
+import org.oleanderstep.proxy.internal.declarations.Refusal;
+import org.oleanderstep.schema.v1.Declarations;
+
+/** Checks a directory of declared objects without publishing it. */
+@Command(
+    name = "check",
+    description = "Checks a directory of declared objects and lists all faults.")
+@Examples(
+    examples = "oleanderstep check examples/tallerkode",
+    descriptions = "Checks the files of one deployment; exits with 1 if any object is refused.")
+public final class CheckCommand implements CliCommand {
+
+  @AirlineModule private DirectoryArgument directory = new DirectoryArgument();
+  @AirlineModule private OutputOptions output = new OutputOptions();
+
+  @Override
+  public ExitCode run(Console console) {
+    DeclarationsDirectory.Result result = directory.read();
+    boolean accepted = result.refusals().isEmpty();
+    if (output.json()) {
+      console.out().println(json(result));
+    } else if (accepted) {
+      console.out().println("accepted: " + counts(result.declarations()));
+    } else {
+      console.err().println(DirectoryArgument.refusalText(result));
+    }
+    return accepted ? ExitCode.OK : ExitCode.FAILED;
+  }
+
+  private static String counts(Declarations set) {
+    return String.format(
+        "%d organisations, %d keys, %d services, %d routes, %d read rules, %d objectives",
+        set.getOrganisationsCount(),
+        set.getKeysCount(),
+        set.getServicesCount(),
+        set.getRoutesCount(),
+        set.getReadRulesCount(),
+        set.getObjectivesCount());
+  }
+
+  private static Json json(DeclarationsDirectory.Result result) {
+    return Json.object()
+        .with("accepted", result.refusals().isEmpty())
+        .with("refusals", result.refusals().stream().map(CheckCommand::json).toList());
+  }
+
+  private static Json json(Refusal refusal) {
+    return Json.object()
+        .with("file", refusal.file())
+        .with("object", refusal.object())
+        .with("field", refusal.field())
+        .with("problem", refusal.problem())
+        .with("remedy", refusal.remedy());
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/org/oleanderstep/cli/CommandException.java
@@ -0,0 +1,18 @@
+package org.oleanderstep.cli;
+
+/** Ends a command with a message for the operator. */
+final class CommandException extends RuntimeException {
+
+  private static final long serialVersionUID = 1;
+
+  private final ExitCode exitCode;
+
+  CommandException(ExitCode exitCode, String message) {
+    super(message);
+    this.exitCode = exitCode;
+  }
+
+  ExitCode exitCode() {
+    return exitCode;
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/org/oleanderstep/cli/Console.java
@@ -0,0 +1,6 @@
+package org.oleanderstep.cli;
+
+import java.io.PrintStream;
+
+/** Where a command prints. */
+record Console(PrintStream out, PrintStream err) {}
--- /dev/null
+++ b/cli/src/main/java/org/oleanderstep/cli/DirectoryArgument.java
@@ -0,0 +1,48 @@
+package org.oleanderstep.cli;
+
+import com.github.rvesse.airline.annotations.Arguments;
+import com.github.rvesse.airline.annotations.restrictions.MaxOccurrences;
+import com.github.rvesse.airline.annotations.restrictions.Pattern;
+import com.github.rvesse.airline.annotations.restrictions.Required;
+import java.nio.file.Path;
+import org.oleanderstep.proxy.internal.declarations.DeclarationsDirectory;
+import org.oleanderstep.proxy.internal.declarations.Refusal;
+import org.oleanderstep.schema.v1.Declarations;
+
+/** The directory of declared objects. */
+public class DirectoryArgument {
+
+  @Arguments(
+      title = "DIR",
+      description = "directory with JSON files of declared objects; subdirectories are read too")
+  @Required
+  @MaxOccurrences(occurrences = 1)
+  // Airline passes unknown options on as arguments.
+  @Pattern(pattern = "[^-].*", description = "must not start with a hyphen")
+  private String directory;
+
+  Path path() {
+    return Path.of(directory);
+  }
+
+  DeclarationsDirectory.Result read() {
+    return DeclarationsDirectory.read(path());
+  }
+
+  /** Returns the set, or ends the command with all refusals. */
+  Declarations readChecked() {
+    DeclarationsDirectory.Result result = read();
+    if (!result.refusals().isEmpty()) {
+      throw new CommandException(ExitCode.FAILED, refusalText(result));
+    }
+    return result.declarations();
+  }
+
+  static String refusalText(DeclarationsDirectory.Result result) {
+    StringBuilder text = new StringBuilder();
+    for (Refusal refusal : result.refusals()) {
+      text.append(refusal).append(System.lineSeparator());
+    }
+    return text.append("refused: ").append(result.refusals().size()).append(" faults").toString();
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/org/oleanderstep/cli/OutputOptions.java
@@ -0,0 +1,16 @@
+package org.oleanderstep.cli;
+
+import com.github.rvesse.airline.annotations.Option;
+import com.github.rvesse.airline.annotations.restrictions.AllowedRawValues;
+
+/** How a command prints its result. */
+public class OutputOptions {
+
+  @Option(name = "--output", title = "FORMAT", description = "text or json; the default is text")
+  @AllowedRawValues(allowedValues = {"text", "json"})
+  private String output = "text";
+
+  boolean json() {
+    return output.equals("json");
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/org/oleanderstep/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The command line of oleanderstep. */
+package org.oleanderstep.cli;
--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/declarations/DeclarationsDirectory.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/declarations/DeclarationsDirectory.java
@@ -19,6 +19,7 @@
 import org.oleanderstep.proxy.internal.settings.Fault;
 import org.oleanderstep.proxy.internal.settings.ProtoJsonReader;
 import org.oleanderstep.schema.v1.Declarations;
+import org.oleanderstep.schema.v1.Objective;
 
 /**
  * Reads and checks a directory of declared objects.
@@ -33,6 +34,9 @@
  */
 public final class DeclarationsDirectory {
 
+  /** Largest set; the rest of the megabyte of the platform is for the publication's own fields. */
+  private static final int MAX_SET_BYTES = (1 << 20) - (1 << 14);
+
   private static final String SUFFIX = ".json";
 
   /**
@@ -64,6 +68,7 @@
     // References between objects of a file that could not be read would all be reported as broken.
     if (reader.refusals.isEmpty()) {
       reader.checkSet();
+      reader.checkEncoding();
     }
     return new Result(reader.merged.build(), reader.refusals);
   }
@@ -110,6 +115,30 @@
     }
   }
 
+  /** Refuses what the records of the core cannot express. */
+  private void checkEncoding() {
+    for (Objective objective : set().getObjectivesList()) {
+      if (objective.getIndicator() == Objective.Indicator.INDICATOR_UNSPECIFIED) {
+        ObjectReference reference =
+            new ObjectReference(ObjectKind.OBJECTIVE.label(), objective.getName());
+        refusals.add(
+            new Refusal(
+                String.join(", ", files.getOrDefault(reference, Set.of())),
+                reference.toString(),
+                "indicator",
+                "the value is missing",
+                "name one of AVAILABILITY, REPLICA_READ_SHARE, FAILOVER_GAP, LATENCY,"
+                    + " REFUSED_INSIDE_RATE"));
+      }
+    }
+    if (set().getSerializedSize() > MAX_SET_BYTES) {
+      refuse(
+          directory.toString(),
+          "the set has " + set().getSerializedSize() + " bytes when it is published",
+          "reduce it to " + MAX_SET_BYTES + " bytes; the platform accepts no larger value");
+    }
+  }
+
   private Declarations set() {
     return merged.build();
   }
--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/platform/RetrySettings.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/platform/RetrySettings.java
@@ -29,4 +29,9 @@
           "firstDelay must be positive and at most maxDelay: " + firstDelay + ", " + maxDelay);
     }
   }
+
+  /** Returns the same delays with another budget. */
+  public RetrySettings withBudget(Duration otherBudget) {
+    return new RetrySettings(otherBudget, firstDelay, maxDelay);
+  }
 }
--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/settings/ProtoJsonReader.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/settings/ProtoJsonReader.java
@@ -130,12 +130,12 @@
         }
       }
       case STRING -> require(value.hasStringValue(), value, path, "a text in quotes is expected");
-      case BOOLEAN ->
-          require(value.hasBoolValue(), value, path, "true or false is expected");
+      case BOOLEAN -> require(value.hasBoolValue(), value, path, "true or false is expected");
       case INT, LONG -> checkInteger(value, field, path);
       case FLOAT, DOUBLE -> require(value.hasNumberValue(), value, path, "a number is expected");
       case ENUM -> checkEnum(value, field, path);
-      case BYTE_STRING -> require(value.hasStringValue(), value, path, "a text in Base64 is expected");
+      case BYTE_STRING ->
+          require(value.hasStringValue(), value, path, "a text in Base64 is expected");
     }
   }
 
--- a/standins/src/main/java/org/oleanderstep/standins/platform/PlatformHandler.java
+++ b/standins/src/main/java/org/oleanderstep/standins/platform/PlatformHandler.java
@@ -173,12 +173,14 @@
         Math.min(
             MAX_WATCH_MILLIS, request.parameter("timeoutMs").map(Long::parseLong).orElse(30_000L));
     state.counts().watches.increment();
+    // Known before the faults are read, so that a fault set at the same time closes it either way.
+    state.addWaiting(context.channel(), request.vm());
     if (dropped(context, request)) {
+      state.removeWaiting(context.channel());
       return;
     }
     CompletableFuture<Optional<StoredObject>> watch = state.objects().watch(name, version);
     state.counts().waitingWatches.incrementAndGet();
-    state.addWaiting(context.channel(), request.vm());
     // Closing the channel ends the watch, so that callers that went away are not counted.
     Future<?> unusedClose = context.channel().closeFuture().addListener(f -> watch.cancel(false));
     var timeout =
--- a/standins/src/main/java/org/oleanderstep/standins/platform/PlatformServer.java
+++ b/standins/src/main/java/org/oleanderstep/standins/platform/PlatformServer.java
@@ -20,6 +20,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.oleanderstep.schema.v1.PlatformFaults;
 import org.oleanderstep.schema.v1.PlatformSettings;
 import org.oleanderstep.schema.v1.PlatformStats;
@@ -46,6 +47,7 @@
   private final EventLoopGroup threads;
   private final ChannelGroup connections;
   private final Channel listener;
+  private final AtomicBoolean closed = new AtomicBoolean();
 
   private PlatformServer(
       PlatformState state, EventLoopGroup threads, ChannelGroup connections, Channel listener) {
@@ -118,6 +120,9 @@
 
   @Override
   public void close() {
+    if (closed.getAndSet(true)) {
+      return;
+    }
     listener.close().syncUninterruptibly();
     connections.close().awaitUninterruptibly(STOP_SECONDS, TimeUnit.SECONDS);
     threads
