--- /dev/null
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/control/ConfigurationKeeper.java
@@ -0,0 +1,96 @@
+package org.oleanderstep.proxy.internal.control;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeSet;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.oleanderstep.core.configuration.Adoption;
+import org.oleanderstep.core.configuration.Configuration;
+import org.oleanderstep.core.configuration.ConfigurationAdopter;
+import org.oleanderstep.core.configuration.Key;
+import org.oleanderstep.proxy.internal.convert.ConfigurationConverter;
+import org.oleanderstep.schema.v1.PublishedConfiguration;
+
+/** Keeps the configuration in force, and its message for peers that pull it. */
+final class ConfigurationKeeper {
+
+  private static final Logger logger = LogManager.getLogger(ConfigurationKeeper.class);
+
+  /** Takes a configuration that is in force from now on. */
+  interface Listener {
+    void onConfiguration(Configuration configuration);
+  }
+
+  private final ConfigurationAdopter adopter = new ConfigurationAdopter();
+  private final List<Listener> listeners = new ArrayList<>();
+  private PublishedConfiguration message = PublishedConfiguration.getDefaultInstance();
+
+  void addListener(Listener listener) {
+    listeners.add(listener);
+  }
+
+  Optional<Configuration> current() {
+    return adopter.current();
+  }
+
+  long generation() {
+    return adopter.generation();
+  }
+
+  boolean isBehind(long generation) {
+    return adopter.isBehind(generation);
+  }
+
+  PublishedConfiguration message() {
+    return message;
+  }
+
+  /** Offers a publication that was read from the platform or a peer. */
+  void offer(PublishedConfiguration offered, String source) {
+    if (offered.getGeneration() < adopter.generation()) {
+      return;
+    }
+    Optional<Configuration> before = adopter.current();
+    Adoption adoption;
+    try {
+      adoption = adopter.offer(ConfigurationConverter.toCore(offered));
+    } catch (IllegalArgumentException e) {
+      logger.error(
+          "generation {} from {} is invalid and was not adopted: {}",
+          offered.getGeneration(),
+          source,
+          e.getMessage());
+      return;
+    }
+    if (adoption instanceof Adoption.Adopted adopted) {
+      message = offered;
+      logAdoption(adopted, before, source);
+      listeners.forEach(listener -> listener.onConfiguration(adopted.configuration()));
+    } else if (adoption instanceof Adoption.Conflict conflict) {
+      logger.error(
+          "{} offers another publication of generation {}; the one in force stays",
+          source,
+          conflict.generation());
+    }
+  }
+
+  private static void logAdoption(
+      Adoption.Adopted adopted, Optional<Configuration> before, String source) {
+    logger.info(
+        "configuration generation {} is in force, from {}",
+        adopted.configuration().generation(),
+        source);
+    TreeSet<String> organisations = new TreeSet<>();
+    for (String id : adopted.diff().keysWithdrawn()) {
+      before.flatMap(b -> b.key(id)).map(Key::organisation).ifPresent(organisations::add);
+    }
+    for (String organisation : organisations) {
+      logger.info(
+          "a key of organisation {} is withdrawn with generation {}",
+          organisation,
+          adopted.configuration().generation());
+    }
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/control/GroupMonitor.java
@@ -0,0 +1,401 @@
+package org.oleanderstep.proxy.internal.control;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.oleanderstep.core.configuration.DatabaseDefinition;
+import org.oleanderstep.core.configuration.MemberDefinition;
+import org.oleanderstep.core.failover.FailoverAction;
+import org.oleanderstep.core.failover.FailoverController;
+import org.oleanderstep.core.failover.FailoverSettings;
+import org.oleanderstep.core.failover.MemberRole;
+import org.oleanderstep.core.failover.MemberStatus;
+import org.oleanderstep.core.failover.PrimaryView;
+import org.oleanderstep.core.membership.PeerIdentity;
+import org.oleanderstep.core.model.DatabaseId;
+import org.oleanderstep.core.model.MemberId;
+import org.oleanderstep.core.model.VmId;
+import org.oleanderstep.core.position.LogPosition;
+import org.oleanderstep.core.routing.GroupTracker;
+import org.oleanderstep.core.routing.GroupView;
+import org.oleanderstep.proxy.internal.convert.MemberStatusConverter;
+import org.oleanderstep.proxy.internal.rpc.MemberCalls;
+
+/** Watches the members of one database, and carries out the orders of its failover controller. */
+final class GroupMonitor {
+
+  private static final Logger logger = LogManager.getLogger(GroupMonitor.class);
+
+  /**
+   * Shorter than half of the silence that makes a primary suspect, so that one loss is harmless.
+   */
+  private static final Duration STATUS_DEADLINE = Duration.ofMillis(600);
+
+  private static final Duration ORDER_DEADLINE = Duration.ofMillis(500);
+  private static final Duration FRESH_POSITION_LIMIT = Duration.ofSeconds(2);
+
+  /** A member with the state of its polls. */
+  private static final class Member {
+    private final MemberDefinition definition;
+    private boolean polling;
+    private Optional<MemberStatus> last = Optional.empty();
+
+    Member(MemberDefinition definition) {
+      this.definition = definition;
+    }
+  }
+
+  /** The end of a planned change of the primary. */
+  record ChangeResult(boolean changed, long term, Optional<MemberId> primary, String detail) {}
+
+  private final DatabaseId database;
+  private final DatabaseDefinition definition;
+  private final ControlLoop loop;
+  private final MemberCalls calls;
+  private final FailoverController controller;
+  private final GroupTracker tracker;
+  private final Map<MemberId, Member> members = new LinkedHashMap<>();
+  private final List<CompletableFuture<ChangeResult>> changes = new ArrayList<>();
+  private final List<FreshPosition> fresh = new ArrayList<>();
+  private Set<MemberId> listedLeaving = Set.of();
+  private long fencingTerm;
+  private boolean closed;
+  private boolean askingPrimary;
+  private int answeredFresh;
+
+  /** A caller that waits for a status of the primary asked after its own call. */
+  private record FreshPosition(CompletableFuture<LogPosition> result, long askedNanos) {}
+
+  GroupMonitor(
+      DatabaseId database,
+      DatabaseDefinition definition,
+      PeerIdentity self,
+      FailoverSettings settings,
+      ControlLoop loop,
+      MemberCalls calls,
+      RandomGenerator random) {
+    this.database = database;
+    this.definition = definition;
+    this.loop = loop;
+    this.calls = calls;
+    definition.members().forEach(m -> members.put(m.id(), new Member(m)));
+    this.controller =
+        new FailoverController(
+            settings, database, self.vm(), self.instance(), members.keySet(), random);
+    Set<MemberId> near =
+        definition.members().stream()
+            .filter(m -> m.failureDomain().equals(self.failureDomain()))
+            .map(MemberDefinition::id)
+            .collect(Collectors.toSet());
+    this.tracker = new GroupTracker(database, members.keySet(), near);
+  }
+
+  DatabaseDefinition definition() {
+    return definition;
+  }
+
+  GroupView view() {
+    return tracker.view();
+  }
+
+  Optional<PrimaryView> primary() {
+    return controller.primary();
+  }
+
+  long highestTerm() {
+    return controller.highestTerm();
+  }
+
+  Map<MemberId, String> incarnations() {
+    Map<MemberId, String> incarnations = new LinkedHashMap<>();
+    members.forEach(
+        (id, member) ->
+            member.last.ifPresent(status -> incarnations.put(id, status.incarnation())));
+    return incarnations;
+  }
+
+  Optional<MemberStatus> lastStatus(MemberId member) {
+    return members.get(member).last;
+  }
+
+  /** Asks every member for its status that has answered the last time, or failed to. */
+  void poll() {
+    members.values().stream().filter(member -> !member.polling).forEach(this::poll);
+  }
+
+  private void poll(Member member) {
+    member.polling = true;
+    long asked = loop.nanoTime();
+    loop.onCompletion(
+        calls.status(member.definition.controlAddress(), STATUS_DEADLINE),
+        (status, failure) -> {
+          member.polling = false;
+          if (failure == null) {
+            onStatus(member, status, asked);
+          } else {
+            onStatusFailure(member);
+          }
+        });
+  }
+
+  private void onStatus(
+      Member member, org.oleanderstep.schema.v1.MemberStatus message, long asked) {
+    if (closed) {
+      return;
+    }
+    MemberId id = member.definition.id();
+    MemberStatus status = MemberStatusConverter.toCore(message, listedLeaving.contains(id));
+    if (!status.member().equals(id)) {
+      logger.warn(
+          "{}: the control address of member {} is served by member {}",
+          database,
+          id,
+          status.member());
+      onStatusFailure(member);
+      return;
+    }
+    takeStatus(member, status, asked);
+    carryOut(controller.onStatus(status, loop.nanoTime()));
+  }
+
+  private void takeStatus(Member member, MemberStatus status, long asked) {
+    member.last = Optional.of(status);
+    tracker.onStatus(status, asked, loop.nanoTime());
+    answerFreshPositions(status, asked);
+  }
+
+  private void onStatusFailure(Member member) {
+    if (!closed) {
+      tracker.onFailure(member.definition.id());
+      carryOut(controller.onStatusFailure(member.definition.id(), loop.nanoTime()));
+    }
+  }
+
+  void tick() {
+    carryOut(controller.onTick(loop.nanoTime()));
+    failOverdueFreshPositions();
+    askPrimaryForPosition();
+  }
+
+  void onPeers(Collection<VmId> live) {
+    controller.onPeers(live);
+  }
+
+  void onPeerReport(long term, MemberId primary) {
+    tracker.onTerm(term);
+    carryOut(controller.onPeerReport(term, primary, loop.nanoTime()));
+  }
+
+  void onListedLeaving(Set<MemberId> leaving) {
+    listedLeaving = leaving;
+  }
+
+  void onPositionSeen(MemberId member, String incarnation, LogPosition position) {
+    tracker.onAnswer(member, incarnation, position, loop.nanoTime());
+  }
+
+  /** A failed connection is only a hint: the next status tells whether the member is there. */
+  void onConnectionFailed(MemberId id) {
+    Member member = members.get(id);
+    if (member != null && !member.polling) {
+      poll(member);
+    }
+  }
+
+  CompletableFuture<ChangeResult> requestPrimaryChange(Optional<MemberId> to) {
+    CompletableFuture<ChangeResult> result = new CompletableFuture<>();
+    if (to.isPresent() && !members.containsKey(to.get())) {
+      result.complete(
+          new ChangeResult(
+              false,
+              highestTerm(),
+              primary().map(PrimaryView::member),
+              "no member of " + database + " has the name " + to.get()));
+      return result;
+    }
+    changes.add(result);
+    logger.info(
+        "{}: change of the primary to {} requested",
+        database,
+        to.map(MemberId::name).orElse("any other member"));
+    carryOut(controller.requestPrimaryChange(to, loop.nanoTime()));
+    return result;
+  }
+
+  // Fresh positions of the primary.
+
+  CompletableFuture<LogPosition> freshPrimaryPosition() {
+    CompletableFuture<LogPosition> result = new CompletableFuture<>();
+    fresh.add(new FreshPosition(result, loop.nanoTime()));
+    askPrimaryForPosition();
+    return result;
+  }
+
+  private void askPrimaryForPosition() {
+    Optional<Member> primary = controller.primary().map(view -> members.get(view.member()));
+    if (askingPrimary || fresh.isEmpty() || closed || primary.isEmpty()) {
+      return;
+    }
+    askingPrimary = true;
+    Member member = primary.get();
+    int waiting = fresh.size();
+    long asked = loop.nanoTime();
+    loop.onCompletion(
+        calls.status(member.definition.controlAddress(), STATUS_DEADLINE),
+        (status, failure) -> {
+          askingPrimary = false;
+          if (failure == null) {
+            onStatus(member, status, asked);
+          }
+          // Callers that came meanwhile are asked for at once; if nobody was answered, the next
+          // tick asks again.
+          boolean answered = answeredFresh >= waiting;
+          answeredFresh = 0;
+          if (answered) {
+            askPrimaryForPosition();
+          }
+        });
+  }
+
+  private void answerFreshPositions(MemberStatus status, long asked) {
+    boolean isPrimary =
+        status.role() == MemberRole.PRIMARY
+            && status.hasMajority()
+            && status.term() >= controller.highestTerm()
+            && status.promisedTerm() <= status.term();
+    if (!isPrimary) {
+      return;
+    }
+    List<FreshPosition> answered =
+        fresh.stream().filter(waiter -> asked - waiter.askedNanos() >= 0).toList();
+    fresh.removeAll(answered);
+    answeredFresh += answered.size();
+    answered.forEach(waiter -> waiter.result().complete(status.applied()));
+  }
+
+  private void failOverdueFreshPositions() {
+    long now = loop.nanoTime();
+    List<FreshPosition> overdue =
+        fresh.stream()
+            .filter(waiter -> now - waiter.askedNanos() >= FRESH_POSITION_LIMIT.toNanos())
+            .toList();
+    fresh.removeAll(overdue);
+    overdue.forEach(
+        waiter ->
+            waiter
+                .result()
+                .completeExceptionally(
+                    new IllegalStateException("no primary of " + database + " answered in time")));
+  }
+
+  // Orders of the controller.
+
+  private void carryOut(List<FailoverAction> actions) {
+    for (FailoverAction action : actions) {
+      if (action instanceof FailoverAction.SendFence fence) {
+        sendFence(fence);
+      } else if (action instanceof FailoverAction.SendPromote promote) {
+        sendPromote(promote);
+      } else if (action instanceof FailoverAction.PrimaryChanged changed) {
+        logger.info(
+            "{}: member {} is primary of term {}", database, changed.primary(), changed.term());
+        tracker.onTerm(changed.term());
+      } else if (action instanceof FailoverAction.PlannedChangeFinished finished) {
+        finishChanges(finished);
+      }
+    }
+  }
+
+  private void sendFence(FailoverAction.SendFence fence) {
+    if (fence.term() != fencingTerm) {
+      fencingTerm = fence.term();
+      logger.info("{}: failover started, fencing members for term {}", database, fence.term());
+    }
+    Member member = members.get(fence.member());
+    long asked = loop.nanoTime();
+    loop.onCompletion(
+        calls.fence(
+            member.definition.controlAddress(),
+            fence.term(),
+            controller.candidate(),
+            ORDER_DEADLINE),
+        (reply, failure) -> {
+          if (closed || failure != null) {
+            return;
+          }
+          MemberStatus status =
+              MemberStatusConverter.toCore(
+                  reply.getStatus(), listedLeaving.contains(fence.member()));
+          takeStatus(member, status, asked);
+          carryOut(
+              controller.onFenceReply(
+                  fence.member(), fence.term(), reply.getAccepted(), status, loop.nanoTime()));
+        });
+  }
+
+  private void sendPromote(FailoverAction.SendPromote promote) {
+    logger.info(
+        "{}: a majority is fenced for term {}, promoting member {}",
+        database,
+        promote.term(),
+        promote.member());
+    Member member = members.get(promote.member());
+    long asked = loop.nanoTime();
+    loop.onCompletion(
+        calls.promote(
+            member.definition.controlAddress(),
+            promote.term(),
+            controller.candidate(),
+            ORDER_DEADLINE),
+        (reply, failure) -> {
+          if (closed || failure != null) {
+            return;
+          }
+          MemberStatus status =
+              MemberStatusConverter.toCore(
+                  reply.getStatus(), listedLeaving.contains(promote.member()));
+          takeStatus(member, status, asked);
+          carryOut(
+              controller.onPromoteReply(
+                  promote.member(), promote.term(), reply.getAccepted(), status, loop.nanoTime()));
+        });
+  }
+
+  private void finishChanges(FailoverAction.PlannedChangeFinished finished) {
+    logger.info(
+        "{}: change of the primary {}: {}",
+        database,
+        finished.changed() ? "done" : "not done",
+        finished.detail());
+    ChangeResult result =
+        new ChangeResult(
+            finished.changed(),
+            controller.highestTerm(),
+            controller.primary().map(PrimaryView::member),
+            finished.detail());
+    List<CompletableFuture<ChangeResult>> waiting = List.copyOf(changes);
+    changes.clear();
+    waiting.forEach(change -> change.complete(result));
+  }
+
+  /** Ends all waits when the database was removed or has other members. */
+  void close() {
+    closed = true;
+    IllegalStateException ended =
+        new IllegalStateException("the members of " + database + " were declared anew");
+    fresh.forEach(waiter -> waiter.result().completeExceptionally(ended));
+    fresh.clear();
+    changes.forEach(change -> change.completeExceptionally(ended));
+    changes.clear();
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/control/PlatformWatcher.java
@@ -0,0 +1,277 @@
+package org.oleanderstep.proxy.internal.control;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.oleanderstep.core.membership.PeerTable;
+import org.oleanderstep.proxy.internal.platform.ConfigurationStore;
+import org.oleanderstep.proxy.internal.platform.PlatformClient;
+import org.oleanderstep.proxy.internal.platform.PlatformObject;
+import org.oleanderstep.proxy.internal.platform.WatchAnswer;
+import org.oleanderstep.schema.v1.ObjectHead;
+import org.oleanderstep.schema.v1.ShareTable;
+import org.oleanderstep.schema.v1.VmList;
+
+/**
+ * Learns from the platform: everything once at the start, and continuously while this process is
+ * elected as a watcher.
+ */
+final class PlatformWatcher {
+
+  private static final Logger logger = LogManager.getLogger(PlatformWatcher.class);
+
+  /**
+   * An unanswered watch proves nothing, so it ends after a quarter of the time for which a
+   * configuration is trusted.
+   */
+  private static final Duration CONFIGURATION_WAIT = Duration.ofSeconds(1);
+
+  private static final Duration SHARES_WAIT = Duration.ofSeconds(10);
+  private static final Duration MAX_BACKOFF = Duration.ofSeconds(1);
+  private static final Duration FIRST_BACKOFF = Duration.ofMillis(100);
+  private static final String INTENTS = "intent/";
+
+  /** Takes over what the platform reports. */
+  interface Listener {
+    void onVmList(VmList list);
+
+    void onIntent(PlatformObject object, String name);
+  }
+
+  /** The repeated watch of one object. */
+  private abstract class Watch {
+    private final String object;
+    private final Duration wait;
+    private long version;
+    private boolean pending;
+    private long notBefore = loop.nanoTime();
+    private Duration backoff = FIRST_BACKOFF;
+
+    Watch(String object, Duration wait) {
+      this.object = object;
+      this.wait = wait;
+    }
+
+    void proceed() {
+      long now = loop.nanoTime();
+      if (pending || now - notBefore < 0) {
+        return;
+      }
+      pending = true;
+      loop.onCompletion(platform.watch(object, version, wait), (a, f) -> onAnswer(a, f, now));
+    }
+
+    private void onAnswer(WatchAnswer answer, Throwable failure, long sentAt) {
+      pending = false;
+      if (failure != null) {
+        notBefore = loop.nanoTime() + jittered(backoff);
+        backoff = min(backoff.multipliedBy(2), MAX_BACKOFF);
+        noteReachable(false, failure.getMessage());
+        return;
+      }
+      backoff = FIRST_BACKOFF;
+      noteReachable(true, "");
+      if (answer instanceof WatchAnswer.Changed changed) {
+        version = changed.object().version();
+        onObject(changed.object());
+      } else if (answer instanceof WatchAnswer.Deleted) {
+        logger.error("object {} was deleted at the platform; the state in force stays", object);
+        version = 0;
+        onDeleted();
+      }
+      onConfirmed(sentAt);
+      if (isElected()) {
+        proceed();
+      }
+    }
+
+    abstract void onObject(PlatformObject value);
+
+    abstract void onDeleted();
+
+    abstract void onConfirmed(long sentAt);
+  }
+
+  private final PlatformClient platform;
+  private final ControlLoop loop;
+  private final PeerTable peers;
+  private final ConfigurationKeeper configuration;
+  private final ShareKeeper shares;
+  private final Listener listener;
+  private final RandomGenerator random;
+  private final Watch configurationWatch;
+  private final Watch sharesWatch;
+  private final Set<String> knownIntents = new HashSet<>();
+  private boolean pollingVms;
+  private boolean pollingIntents;
+  private boolean elected = true;
+  private boolean reachable = true;
+
+  PlatformWatcher(
+      PlatformClient platform,
+      ControlLoop loop,
+      PeerTable peers,
+      ConfigurationKeeper configuration,
+      ShareKeeper shares,
+      Listener listener,
+      RandomGenerator random) {
+    this.platform = platform;
+    this.loop = loop;
+    this.peers = peers;
+    this.configuration = configuration;
+    this.shares = shares;
+    this.listener = listener;
+    this.random = random;
+    this.configurationWatch = new ConfigurationWatch();
+    this.sharesWatch = new SharesWatch();
+  }
+
+  private final class ConfigurationWatch extends Watch {
+    private long generation;
+
+    ConfigurationWatch() {
+      super(ConfigurationStore.OBJECT, CONFIGURATION_WAIT);
+    }
+
+    @Override
+    void onObject(PlatformObject value) {
+      ConfigurationStore.Stored stored = ConfigurationStore.parse(value);
+      generation = stored.configuration().getGeneration();
+      configuration.offer(stored.configuration(), "the platform");
+    }
+
+    @Override
+    void onDeleted() {
+      generation = 0;
+    }
+
+    /** The answer confirms the generation of the object that was last read. */
+    @Override
+    void onConfirmed(long sentAt) {
+      if (generation > 0 && generation == configuration.generation()) {
+        peers.onPlatformContact(sentAt);
+      }
+    }
+  }
+
+  private final class SharesWatch extends Watch {
+    SharesWatch() {
+      super(ShareKeeper.OBJECT, SHARES_WAIT);
+    }
+
+    @Override
+    void onObject(PlatformObject value) {
+      try {
+        shares.onTable(ShareTable.parseFrom(value.value()));
+      } catch (InvalidProtocolBufferException e) {
+        logger.error("object {} is not a share table", ShareKeeper.OBJECT);
+      }
+    }
+
+    @Override
+    void onDeleted() {}
+
+    @Override
+    void onConfirmed(long sentAt) {}
+  }
+
+  boolean isElected() {
+    return elected;
+  }
+
+  /** Continues or ends the watches; {@code wanted} is the result of the election. */
+  void tick(boolean wanted) {
+    if (wanted != elected) {
+      logger.info("this process {} the platform", wanted ? "watches" : "does not watch");
+    }
+    elected = wanted;
+    if (elected) {
+      configurationWatch.proceed();
+      sharesWatch.proceed();
+    }
+  }
+
+  /** Reads the objects once, for a process that starts. */
+  void readAll() {
+    configurationWatch.proceed();
+    sharesWatch.proceed();
+    pollVms();
+  }
+
+  /** Reads the list of VMs, and the intents of operators. */
+  void poll() {
+    if (elected) {
+      pollVms();
+      pollIntents();
+    }
+  }
+
+  private void pollVms() {
+    if (pollingVms) {
+      return;
+    }
+    pollingVms = true;
+    loop.onCompletion(
+        platform.vms(),
+        (list, failure) -> {
+          pollingVms = false;
+          if (failure == null) {
+            listener.onVmList(list);
+          }
+        });
+  }
+
+  private void pollIntents() {
+    if (pollingIntents) {
+      return;
+    }
+    pollingIntents = true;
+    loop.onCompletion(
+        platform.list(INTENTS),
+        (list, failure) -> {
+          pollingIntents = false;
+          if (failure == null) {
+            list.getObjectsList().forEach(this::readIntent);
+          }
+        });
+  }
+
+  private void readIntent(ObjectHead head) {
+    String id = head.getName() + "@" + head.getVersion();
+    if (!knownIntents.add(id)) {
+      return;
+    }
+    loop.onCompletion(
+        platform.get(head.getName()),
+        (object, failure) -> {
+          if (failure != null) {
+            knownIntents.remove(id);
+          } else {
+            object.ifPresent(value -> listener.onIntent(value, head.getName()));
+          }
+        });
+  }
+
+  private void noteReachable(boolean now, String detail) {
+    if (reachable != now) {
+      if (now) {
+        logger.info("the platform answers again");
+      } else {
+        logger.warn("the platform does not answer: {}", detail);
+      }
+    }
+    reachable = now;
+  }
+
+  private long jittered(Duration delay) {
+    return (long) (delay.toNanos() * (0.5 + random.nextDouble()));
+  }
+
+  private static Duration min(Duration a, Duration b) {
+    return a.compareTo(b) <= 0 ? a : b;
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/control/ShareKeeper.java
@@ -0,0 +1,422 @@
+package org.oleanderstep.proxy.internal.control;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.oleanderstep.core.admission.AdmissionAction;
+import org.oleanderstep.core.admission.ShareLedger;
+import org.oleanderstep.core.admission.ShareTable;
+import org.oleanderstep.core.admission.ShareTablePlanner;
+import org.oleanderstep.core.admission.TransferReply;
+import org.oleanderstep.core.admission.TransferRequest;
+import org.oleanderstep.core.configuration.Configuration;
+import org.oleanderstep.core.membership.PeerIdentity;
+import org.oleanderstep.core.membership.PeerState;
+import org.oleanderstep.core.membership.PeerTable;
+import org.oleanderstep.core.membership.VmList;
+import org.oleanderstep.core.model.OrganisationId;
+import org.oleanderstep.core.model.VmId;
+import org.oleanderstep.proxy.internal.convert.ShareTableConverter;
+import org.oleanderstep.proxy.internal.platform.ConditionalPublisher;
+import org.oleanderstep.proxy.internal.platform.PlatformClient;
+import org.oleanderstep.proxy.internal.platform.PlatformObject;
+import org.oleanderstep.proxy.internal.rpc.PeerCalls;
+import org.oleanderstep.proxy.internal.traffic.Admission;
+import org.oleanderstep.schema.v1.ConfirmTransferRequest;
+import org.oleanderstep.schema.v1.TransferTokensReply;
+import org.oleanderstep.schema.v1.TransferTokensRequest;
+
+/**
+ * Carries out the orders of the share ledger, and publishes share tables.
+ *
+ * <p>{@link #tryAcquire} may be called by any thread, everything else by the control thread only.
+ */
+final class ShareKeeper {
+
+  static final String OBJECT = "shares/current";
+
+  private static final Logger logger = LogManager.getLogger(ShareKeeper.class);
+  private static final Admission ADMITTED = new Admission.Admitted();
+
+  /** Peers asked at once to confirm the share table. */
+  private static final int CONFIRMING_PEERS = 2;
+
+  /** The table in force at the platform, with the version of its object. */
+  private record Stored(long objectVersion, ShareTable table) {}
+
+  private final ShareLedger ledger;
+  private final PeerIdentity self;
+  private final PeerTable peers;
+  private final ControlLoop loop;
+  private final PeerCalls calls;
+  private final PlatformClient platform;
+  private final ConditionalPublisher publisher;
+  private final Map<Long, CompletableFuture<Admission>> waiting = new HashMap<>();
+  private long nextRequestId;
+  private long lastConfirmationId;
+  private boolean askingPlatform;
+  private boolean publishing;
+
+  ShareKeeper(
+      ShareLedger ledger,
+      PeerTable peers,
+      ControlLoop loop,
+      PeerCalls calls,
+      PlatformClient platform) {
+    this.ledger = ledger;
+    this.self = peers.self();
+    this.peers = peers;
+    this.loop = loop;
+    this.calls = calls;
+    this.platform = platform;
+    this.publisher = new ConditionalPublisher(platform);
+  }
+
+  // Admission.
+
+  boolean tryAcquire(OrganisationId organisation, long now) {
+    return ledger.tryAcquire(organisation, now);
+  }
+
+  static Admission admitted() {
+    return ADMITTED;
+  }
+
+  /** Lets a request wait for a token. */
+  void await(OrganisationId organisation, long deadlineNanos, CompletableFuture<Admission> result) {
+    long id = nextRequestId++;
+    waiting.put(id, result);
+    carryOut(ledger.await(id, organisation, deadlineNanos, loop.nanoTime()));
+  }
+
+  boolean hasWaiting() {
+    return !waiting.isEmpty();
+  }
+
+  void tick() {
+    carryOut(ledger.onTick(loop.nanoTime()));
+  }
+
+  Map<OrganisationId, Double> tokens() {
+    return ledger.tokens(loop.nanoTime());
+  }
+
+  long version() {
+    return ledger.sharesVersion();
+  }
+
+  Optional<ShareTable> table() {
+    return ledger.shares();
+  }
+
+  void onPeers(Collection<PeerState> live) {
+    ledger.onPeers(live, loop.nanoTime());
+  }
+
+  void onConfiguration(Configuration configuration) {
+    ledger.onOrganisations(
+        configuration.generation(), configuration.declarations().organisations(), loop.nanoTime());
+  }
+
+  /** Tells the ledger when all holders of slots have the generation in force here. */
+  void noteGenerationInForce(long generation) {
+    Optional<ShareTable> table = ledger.shares();
+    if (generation > 0 && table.isPresent() && peers.allReport(table.get().holders(), generation)) {
+      ledger.onGenerationInForce(generation, loop.nanoTime());
+    }
+  }
+
+  private void carryOut(List<AdmissionAction> actions) {
+    for (AdmissionAction action : actions) {
+      if (action instanceof AdmissionAction.Admit admit) {
+        complete(admit.requestId(), ADMITTED);
+      } else if (action instanceof AdmissionAction.Refuse refuse) {
+        complete(
+            refuse.requestId(),
+            new Admission.Refused(refuse.reason(), refuse.reason().description()));
+      } else if (action instanceof AdmissionAction.PullTokens pull) {
+        pullTokens(pull);
+      } else if (action instanceof AdmissionAction.ConfirmTransfer confirm) {
+        confirmTransfer(confirm);
+      } else if (action instanceof AdmissionAction.ConfirmShares confirm) {
+        confirmShares(confirm.confirmationId());
+      }
+    }
+  }
+
+  private void complete(long requestId, Admission admission) {
+    CompletableFuture<Admission> result = waiting.remove(requestId);
+    if (result != null) {
+      result.complete(admission);
+    }
+  }
+
+  // Transfer of tokens.
+
+  private void pullTokens(AdmissionAction.PullTokens pull) {
+    Optional<String> address = addressOf(pull.peer());
+    if (address.isEmpty()) {
+      carryOut(ledger.onTransferFailed(pull.transferId(), loop.nanoTime()));
+      return;
+    }
+    TransferTokensRequest request =
+        TransferTokensRequest.newBuilder()
+            .setOrganisation(pull.organisation().name())
+            .setTokens(pull.amount())
+            .setReceiverVm(self.vm().name())
+            .setReceiverInstance(self.instance())
+            .setTransferId(pull.transferId())
+            .build();
+    loop.onCompletion(
+        calls.transferTokens(address.get(), request),
+        (reply, failure) -> {
+          long now = loop.nanoTime();
+          carryOut(
+              failure == null
+                  ? ledger.onTransferReply(
+                      pull.transferId(),
+                      new TransferReply(reply.getTokens(), reply.getRemaining()),
+                      now)
+                  : ledger.onTransferFailed(pull.transferId(), now));
+        });
+  }
+
+  private void confirmTransfer(AdmissionAction.ConfirmTransfer confirm) {
+    ConfirmTransferRequest request =
+        ConfirmTransferRequest.newBuilder()
+            .setReceiverInstance(self.instance())
+            .setTransferId(confirm.transferId())
+            .build();
+    // A lost confirmation only makes the giver count the tokens for the hold time.
+    addressOf(confirm.peer())
+        .ifPresent(
+            address ->
+                loop.onCompletion(calls.confirmTransfer(address, request), (reply, failure) -> {}));
+  }
+
+  /** Gives tokens to a peer. */
+  TransferTokensReply onTransferRequest(TransferTokensRequest request) {
+    TransferReply reply =
+        ledger.onTransferRequest(
+            new TransferRequest(
+                new VmId(request.getReceiverVm()),
+                request.getReceiverInstance(),
+                request.getTransferId(),
+                new OrganisationId(request.getOrganisation()),
+                request.getTokens()),
+            loop.nanoTime());
+    return TransferTokensReply.newBuilder()
+        .setTokens(reply.amount())
+        .setRemaining(reply.remaining())
+        .build();
+  }
+
+  /** Takes the confirmation of a peer. */
+  void onTransferConfirm(ConfirmTransferRequest request) {
+    ledger.onTransferConfirm(
+        request.getReceiverInstance(), request.getTransferId(), loop.nanoTime());
+  }
+
+  private Optional<String> addressOf(VmId vm) {
+    return peers.peers(loop.nanoTime()).stream()
+        .filter(peer -> peer.vm().equals(vm))
+        .map(PeerState::peerAddress)
+        .findFirst();
+  }
+
+  // Share tables.
+
+  /** Adopts a table that a peer or the platform reported. */
+  void onTable(org.oleanderstep.schema.v1.ShareTable message) {
+    if (message.getVersion() > 0) {
+      adopt(ShareTableConverter.toCore(message));
+    }
+  }
+
+  private void adopt(ShareTable table) {
+    if (table.version() > ledger.sharesVersion()) {
+      logger.info(
+          "share table {} is in force: {} of {} slots here, {} VMs",
+          table.version(),
+          table.slotsOf(self.vm()),
+          table.slots().size(),
+          table.holders().size());
+    }
+    ledger.onShares(table, loop.nanoTime());
+  }
+
+  private void confirmShares(long confirmationId) {
+    lastConfirmationId = confirmationId;
+    peers.live(loop.nanoTime()).stream()
+        .limit(CONFIRMING_PEERS)
+        .forEach(
+            peer ->
+                loop.onCompletion(
+                    calls.getShares(peer.peerAddress()),
+                    (reply, failure) -> {
+                      if (failure == null && reply.getVersion() > 0) {
+                        confirm(confirmationId, ShareTableConverter.toCore(reply));
+                      }
+                    }));
+    askPlatformToConfirm(confirmationId);
+  }
+
+  /** Has one call at a time, since a slow platform must not get a call for each repetition. */
+  private void askPlatformToConfirm(long confirmationId) {
+    if (askingPlatform) {
+      return;
+    }
+    askingPlatform = true;
+    long askedAt = loop.nanoTime();
+    loop.onCompletion(
+        platform.get(OBJECT),
+        (object, failure) -> {
+          askingPlatform = false;
+          if (failure != null || object.isEmpty()) {
+            return;
+          }
+          ShareTable table = parse(object.get()).table();
+          // Repetitions without a pause in between may use the answer to the first call.
+          boolean paused = lastPauseAt - askedAt > 0;
+          confirm(paused ? confirmationId : lastConfirmationId, table);
+        });
+  }
+
+  private long lastPauseAt;
+
+  /** Notes that the process was paused; answers to earlier calls prove nothing any more. */
+  void onPause() {
+    lastPauseAt = loop.nanoTime();
+    carryOut(ledger.onPause(lastPauseAt));
+  }
+
+  private void confirm(long confirmationId, ShareTable table) {
+    adopt(table);
+    ledger.onSharesConfirmed(confirmationId, table, loop.nanoTime());
+  }
+
+  /**
+   * Publishes the first table, or the next one if VMs that hold slots were terminated; called by
+   * watchers.
+   */
+  void maintain(VmList list) {
+    Optional<ShareTable> held = ledger.shares();
+    boolean due = held.isEmpty() || ShareTablePlanner.next(held.get(), list, newId()).isPresent();
+    if (publishing || list.live().isEmpty() || !due) {
+      return;
+    }
+    publish(
+        stored ->
+            stored.isEmpty()
+                ? Optional.of(ShareTablePlanner.first(list, newId()))
+                : ShareTablePlanner.next(stored.get(), list, newId()),
+        "slots of VMs that the platform does not list any more");
+  }
+
+  /** Hands one slot to a VM that holds fewer. */
+  void handOver(VmList list) {
+    Optional<ShareTable> held = ledger.shares();
+    if (publishing || held.isEmpty()) {
+      return;
+    }
+    Optional<VmId> receiver = ShareTablePlanner.receiverOfSurplus(held.get(), list, self.vm());
+    int slot = lastSlotOf(held.get());
+    if (receiver.isEmpty() || slot < 0) {
+      return;
+    }
+    ledger.release(slot, loop.nanoTime());
+    publish(
+        stored ->
+            stored
+                .filter(table -> table.version() == held.get().version())
+                .map(
+                    table ->
+                        ShareTablePlanner.handOver(table, list, slot, receiver.get(), newId())),
+        "a slot handed to " + receiver.get());
+  }
+
+  private int lastSlotOf(ShareTable table) {
+    for (int i = table.slots().size() - 1; i >= 0; i--) {
+      if (table.slots().get(i).holder().equals(self.vm())) {
+        return i;
+      }
+    }
+    return -1;
+  }
+
+  private void publish(Function<Optional<ShareTable>, Optional<ShareTable>> plan, String reason) {
+    publishing = true;
+    loop.onCompletion(
+        platform.get(OBJECT),
+        (object, failure) -> {
+          if (failure != null) {
+            publishing = false;
+            return;
+          }
+          Optional<Stored> stored = object.map(ShareKeeper::parse);
+          stored.ifPresent(s -> adopt(s.table()));
+          Optional<ShareTable> next = plan.apply(stored.map(Stored::table));
+          if (next.isEmpty()) {
+            publishing = false;
+            return;
+          }
+          update(stored, next.get(), reason);
+        });
+  }
+
+  private void update(Optional<Stored> stored, ShareTable next, String reason) {
+    OptionalLong base =
+        stored.isPresent() ? OptionalLong.of(stored.get().objectVersion()) : OptionalLong.empty();
+    ByteString value = ShareTableConverter.toProto(next).toByteString();
+    loop.onCompletion(
+        publisher.publish(OBJECT, base, value, found -> isPublication(found, next)),
+        (version, failure) -> {
+          publishing = false;
+          if (failure == null) {
+            logger.info("shares moved with table {}: {}", next.version(), reason);
+            adopt(next);
+          } else {
+            logger.info("share table {} was not published: {}", next.version(), message(failure));
+          }
+        });
+  }
+
+  private static String message(Throwable failure) {
+    return failure.getMessage() == null ? failure.toString() : failure.getMessage();
+  }
+
+  private static boolean isPublication(ByteString found, ShareTable published) {
+    try {
+      return org.oleanderstep.schema.v1.ShareTable.parseFrom(found)
+          .getPublicationId()
+          .equals(published.publicationId());
+    } catch (InvalidProtocolBufferException e) {
+      return false;
+    }
+  }
+
+  private static Stored parse(PlatformObject object) {
+    try {
+      return new Stored(
+          object.version(),
+          ShareTableConverter.toCore(
+              org.oleanderstep.schema.v1.ShareTable.parseFrom(object.value())));
+    } catch (InvalidProtocolBufferException e) {
+      throw new IllegalStateException("object " + OBJECT + " is not a share table", e);
+    }
+  }
+
+  private static String newId() {
+    return UUID.randomUUID().toString();
+  }
+}
