--- a/proxy/src/main/java/org/oleanderstep/proxy/ProxyServer.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/ProxyServer.java
@@ -192,7 +192,10 @@
   private TargetAccount targetAccount() {
     Path file = Path.of(settings.getTarget().getPasswordFile());
     try {
-      return new TargetAccount(settings.getTarget().getUser(), Files.readString(file).strip());
+      return new TargetAccount(
+          settings.getTarget().getUser(),
+          Files.readString(file).strip(),
+          DurationConverter.toCore(settings.getTarget().getStatementTimeout()));
     } catch (IOException e) {
       throw new IllegalArgumentException("target.passwordFile cannot be read: " + file, e);
     }
--- /dev/null
+++ b/proxy/src/test/java/org/oleanderstep/proxy/FakeMember.java
@@ -0,0 +1,144 @@
+package org.oleanderstep.proxy;
+
+import com.google.protobuf.util.Durations;
+import io.grpc.Server;
+import io.grpc.netty.NettyServerBuilder;
+import io.grpc.stub.StreamObserver;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import org.oleanderstep.schema.v1.FenceReply;
+import org.oleanderstep.schema.v1.FenceRequest;
+import org.oleanderstep.schema.v1.GroupControlGrpc;
+import org.oleanderstep.schema.v1.MemberStatus;
+import org.oleanderstep.schema.v1.MemberStatusRequest;
+import org.oleanderstep.schema.v1.Position;
+import org.oleanderstep.schema.v1.PromoteReply;
+import org.oleanderstep.schema.v1.PromoteRequest;
+import org.oleanderstep.schema.v1.Role;
+
+/** A control port that follows the rules of terms, without any data behind it. */
+final class FakeMember extends GroupControlGrpc.GroupControlImplBase implements AutoCloseable {
+
+  private final Server server;
+  private MemberStatus status;
+  private long primaryHeardNanos = System.nanoTime();
+  private boolean primaryAlive = true;
+
+  FakeMember(String name, String primary) {
+    status =
+        MemberStatus.newBuilder()
+            .setMember(name)
+            .setIncarnation(name + "-1")
+            .setRole(name.equals(primary) ? Role.PRIMARY : Role.REPLICA)
+            .setTerm(1)
+            .setPromisedTerm(1)
+            .setReceived(Position.newBuilder().setTerm(1).setIndex(7))
+            .setApplied(Position.newBuilder().setTerm(1).setIndex(7))
+            .setHasMajority(name.equals(primary))
+            .setPrimary(primary)
+            .build();
+    try {
+      server =
+          NettyServerBuilder.forAddress(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
+              .directExecutor()
+              .addService(this)
+              .build()
+              .start();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  String name() {
+    return status.getMember();
+  }
+
+  String address() {
+    return "127.0.0.1:" + server.getPort();
+  }
+
+  synchronized boolean isPrimary() {
+    return status.getRole() == Role.PRIMARY;
+  }
+
+  synchronized long term() {
+    return status.getTerm();
+  }
+
+  synchronized void setApplied(long index) {
+    Position position = status.getApplied().toBuilder().setIndex(index).build();
+    status = status.toBuilder().setApplied(position).setReceived(position).build();
+  }
+
+  /** Lets a replica stop to hear from its primary. */
+  synchronized void losePrimary() {
+    primaryAlive = false;
+    primaryHeardNanos = System.nanoTime();
+  }
+
+  private MemberStatus report() {
+    boolean primary = status.getRole() == Role.PRIMARY;
+    long silence = primary || primaryAlive ? 0 : System.nanoTime() - primaryHeardNanos;
+    return status.toBuilder().setPrimarySilence(Durations.fromNanos(silence)).build();
+  }
+
+  @Override
+  public void status(MemberStatusRequest request, StreamObserver<MemberStatus> observer) {
+    MemberStatus report;
+    synchronized (this) {
+      report = report();
+    }
+    observer.onNext(report);
+    observer.onCompleted();
+  }
+
+  @Override
+  public void fence(FenceRequest request, StreamObserver<FenceReply> observer) {
+    FenceReply reply;
+    synchronized (this) {
+      boolean repeated =
+          request.getTerm() == status.getPromisedTerm()
+              && request.getCandidate().equals(status.getPromisedCandidate());
+      boolean accepted = repeated || request.getTerm() > status.getPromisedTerm();
+      if (accepted) {
+        status =
+            status.toBuilder()
+                .setPromisedTerm(request.getTerm())
+                .setPromisedCandidate(request.getCandidate())
+                .build();
+      }
+      reply = FenceReply.newBuilder().setAccepted(accepted).setStatus(report()).build();
+    }
+    observer.onNext(reply);
+    observer.onCompleted();
+  }
+
+  @Override
+  public void promote(PromoteRequest request, StreamObserver<PromoteReply> observer) {
+    PromoteReply reply;
+    synchronized (this) {
+      boolean accepted =
+          request.getTerm() == status.getPromisedTerm()
+              && request.getCandidate().equals(status.getPromisedCandidate());
+      if (accepted) {
+        status =
+            status.toBuilder()
+                .setRole(Role.PRIMARY)
+                .setTerm(request.getTerm())
+                .setPrimary(status.getMember())
+                .setHasMajority(true)
+                .build();
+      }
+      reply = PromoteReply.newBuilder().setAccepted(accepted).setStatus(report()).build();
+    }
+    observer.onNext(reply);
+    observer.onCompleted();
+  }
+
+  @Override
+  public void close() {
+    server.shutdownNow();
+  }
+}
--- a/standins/src/main/java/org/oleanderstep/standins/Main.java
+++ b/standins/src/main/java/org/oleanderstep/standins/Main.java
@@ -4,6 +4,7 @@
 import com.github.rvesse.airline.help.Help;
 import com.github.rvesse.airline.parser.errors.ParseException;
 import org.oleanderstep.standins.member.MemberCommand;
+import org.oleanderstep.standins.platform.PlatformCommand;
 
 /**
  * Command line of the stand-ins; each subcommand is a class of its own that implements {@link
@@ -17,7 +18,7 @@
     name = "oleanderstep-standin",
     description = "Stand-ins for the systems around the proxy",
     defaultCommand = Help.class,
-    commands = {Help.class, MemberCommand.class})
+    commands = {Help.class, MemberCommand.class, PlatformCommand.class})
 public final class Main {
 
   private static final int USAGE_ERROR = 2;
--- a/standins/src/main/java/org/oleanderstep/standins/platform/PlatformCommand.java
+++ b/standins/src/main/java/org/oleanderstep/standins/platform/PlatformCommand.java
@@ -5,9 +5,9 @@
 import com.github.rvesse.airline.annotations.restrictions.Required;
 import com.google.protobuf.util.JsonFormat;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -15,7 +15,7 @@
 
 /** Runs the stand-in for the platform until the process is stopped. */
 @Command(name = "platform", description = "Runs the stand-in for the platform.")
-public final class PlatformCommand implements Callable<Integer> {
+public final class PlatformCommand implements Runnable {
 
   private static final Logger logger = LogManager.getLogger(PlatformCommand.class);
 
@@ -27,11 +27,9 @@
   private String settingsFile;
 
   @Override
-  public Integer call() throws IOException, InterruptedException {
-    PlatformSettings.Builder settings = PlatformSettings.newBuilder();
-    JsonFormat.parser().merge(Files.readString(Path.of(settingsFile)), settings);
+  public void run() {
     CountDownLatch stopped = new CountDownLatch(1);
-    PlatformServer platform = PlatformServer.start(settings.build());
+    PlatformServer platform = PlatformServer.start(readSettings());
     Runtime.getRuntime()
         .addShutdownHook(
             new Thread(
@@ -41,7 +39,20 @@
                 },
                 "platform-stop"));
     logger.info("platform stand-in serves at {}", platform.url());
-    stopped.await();
-    return 0;
+    try {
+      stopped.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private PlatformSettings readSettings() {
+    PlatformSettings.Builder settings = PlatformSettings.newBuilder();
+    try {
+      JsonFormat.parser().merge(Files.readString(Path.of(settingsFile)), settings);
+    } catch (IOException e) {
+      throw new UncheckedIOException("the settings " + settingsFile + " cannot be used", e);
+    }
+    return settings.build();
   }
 }
--- a/standins/src/main/java/org/oleanderstep/standins/platform/PlatformServer.java
+++ b/standins/src/main/java/org/oleanderstep/standins/platform/PlatformServer.java
@@ -18,6 +18,7 @@
 import java.net.URI;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.time.InstantSource;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -64,7 +65,7 @@
             ? Optional.empty()
             : Optional.of(new ObjectFiles(Path.of(settings.getDataDirectory())));
     Duration lag = Duration.ofMillis(Durations.toMillis(settings.getVmListLag()));
-    VmRegistry vms = new VmRegistry(lag, System::nanoTime);
+    VmRegistry vms = new VmRegistry(lag, System::nanoTime, InstantSource.system().millis());
     vms.start(settings.getVmsList());
     PlatformState state = new PlatformState(new ObjectStore(files), vms);
     EventLoopGroup threads = new MultiThreadIoEventLoopGroup(THREADS, NioIoHandler.newFactory());
--- a/standins/src/main/java/org/oleanderstep/standins/platform/VmRegistry.java
+++ b/standins/src/main/java/org/oleanderstep/standins/platform/VmRegistry.java
@@ -20,7 +20,14 @@
   private final LongSupplier nanoTime;
   private long version;
 
-  VmRegistry(Duration lag, LongSupplier nanoTime) {
+  /**
+   * Creates an empty list.
+   *
+   * @param firstVersion version to count from; must be higher after each restart, since a list with
+   *     a lower version counts as old
+   */
+  VmRegistry(Duration lag, LongSupplier nanoTime, long firstVersion) {
+    this.version = firstVersion;
     this.lagNanos = lag.toNanos();
     this.nanoTime = nanoTime;
     history.add(new Shown(nanoTime.getAsLong(), VmList.getDefaultInstance()));
--- a/standins/src/test/java/org/oleanderstep/standins/platform/PlatformServerTest.java
+++ b/standins/src/test/java/org/oleanderstep/standins/platform/PlatformServerTest.java
@@ -275,7 +275,7 @@
     @Test
     void should_show_changes_only_after_the_lag() {
       long[] now = {0};
-      VmRegistry vms = new VmRegistry(java.time.Duration.ofSeconds(3), () -> now[0]);
+      VmRegistry vms = new VmRegistry(java.time.Duration.ofSeconds(3), () -> now[0], 0);
       vms.start(List.of(Vm.newBuilder().setName("vm-1").build()));
       vms.put(Vm.newBuilder().setName("vm-2").build());
       now[0] = 2_000_000_000L;
