--- a/load/src/main/java/org/oleanderstep/load/workload/CallerConnections.java
+++ b/load/src/main/java/org/oleanderstep/load/workload/CallerConnections.java
@@ -51,6 +51,7 @@
         + String.join(",", others)
         + "&timeoutMs="
         + deadline.toMillis()
+        + "&requestIds=always"
         + (callsPerProxy > 0 ? "&callsPerProxy=" + callsPerProxy : "")
         + ";serialization=protobuf;authentication=BASIC"
         + ";httpclient_impl=org.oleanderstep.client.OleanderstepHttpClient";
