--- a/standins/src/main/java/org/oleanderstep/standins/member/internal/MemberRuntime.java
+++ b/standins/src/main/java/org/oleanderstep/standins/member/internal/MemberRuntime.java
@@ -221,10 +221,13 @@
       if (!workers.awaitTermination(STOP_TIMEOUT_SECONDS, TimeUnit.SECONDS)) {
         logger.warn("statements still run after {} s", STOP_TIMEOUT_SECONDS);
       }
+      controlWorkers.shutdown();
+      if (!controlWorkers.awaitTermination(STOP_TIMEOUT_SECONDS, TimeUnit.SECONDS)) {
+        logger.warn("calls on the control port still run after {} s", STOP_TIMEOUT_SECONDS);
+      }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
-    controlWorkers.shutdown();
     boolean stopped =
         eventLoops
             .shutdownGracefully(0, STOP_TIMEOUT_SECONDS, TimeUnit.SECONDS)
--- a/standins/src/test/java/org/oleanderstep/standins/member/GroupFixture.java
+++ b/standins/src/test/java/org/oleanderstep/standins/member/GroupFixture.java
@@ -8,7 +8,6 @@
 import io.grpc.netty.NettyChannelBuilder;
 import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
@@ -23,6 +22,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
@@ -47,6 +49,10 @@
   static final String PASSWORD = "secret";
   private static final Duration WAIT_LIMIT = Duration.ofSeconds(10);
   private static final long POLL_MILLIS = 5;
+  private static final int FIRST_PORT = 20_000;
+  private static final int PORT_COUNT = 12_000;
+  private static final Random PORTS = new Random();
+  private static final Set<Integer> USED_PORTS = ConcurrentHashMap.newKeySet();
 
   private final Map<String, MemberSettings> settings = new LinkedHashMap<>();
   private final Map<String, Member> members = new HashMap<>();
@@ -86,11 +92,21 @@
     }
   }
 
+  /**
+   * Picks a port that members know of each other before they start, and keep over restarts. Ports
+   * of the range that the system gives to outgoing connections are taken again too easily.
+   */
   private static int freePort() {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return socket.getLocalPort();
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
+    while (true) {
+      int port = FIRST_PORT + PORTS.nextInt(PORT_COUNT);
+      try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+        if (USED_PORTS.add(port)) {
+          return socket.getLocalPort();
+        }
+      } catch (IOException e) {
+        // Another process has the port: the next one may be free.
+        USED_PORTS.add(port);
+      }
     }
   }
 
--- a/standins/src/test/java/org/oleanderstep/standins/member/MemberProcessTest.java
+++ b/standins/src/test/java/org/oleanderstep/standins/member/MemberProcessTest.java
@@ -39,7 +39,9 @@
 
   @AfterEach
   void stopGroup() {
-    group.close();
+    if (group != null) {
+      group.close();
+    }
   }
 
   private void signal(String name) throws IOException, InterruptedException {
--- a/standins/src/test/java/org/oleanderstep/standins/member/MemberReplicationTest.java
+++ b/standins/src/test/java/org/oleanderstep/standins/member/MemberReplicationTest.java
@@ -36,7 +36,9 @@
 
   @AfterEach
   void stopGroup() {
-    group.close();
+    if (group != null) {
+      group.close();
+    }
   }
 
   private CompletableFuture<Void> insertInBackground(String member, String value) {
@@ -132,6 +134,22 @@
     assertThat(group.status("a").getRole()).isNotEqualTo(Role.PRIMARY);
   }
 
+  // Guards against H2 when the old primary still reaches the replicas.
+  @Test
+  void should_not_acknowledge_writes_of_a_primary_after_a_majority_is_fenced() throws SQLException {
+    group.fence("b", 2, "vm-1");
+    group.fence("c", 2, "vm-1");
+    CompletableFuture<Void> insert = insertInBackground("a", "lost");
+    assertThrows(CompletionException.class, insert::join);
+    group.awaitStatus("a", status -> status.getPromisedTerm() == 2);
+    assertThat(group.promote("c", 2, "vm-1").getAccepted()).isTrue();
+    group.awaitStatus("c", status -> status.getRole() == Role.PRIMARY);
+    group.awaitStatus("a", status -> status.getTerm() == 2);
+    group.awaitApplied("a", "c");
+    assertThat(group.count("a", COUNT)).isEqualTo(0);
+    assertThat(group.count("c", COUNT)).isEqualTo(0);
+  }
+
   // Guards against the loss of acknowledged writes when a replica that lacks them is promoted.
   @Test
   void should_keep_acknowledged_writes_when_the_most_advanced_member_is_promoted()
--- a/standins/src/test/java/org/oleanderstep/standins/member/MemberSqlTest.java
+++ b/standins/src/test/java/org/oleanderstep/standins/member/MemberSqlTest.java
@@ -37,7 +37,9 @@
 
   @AfterEach
   void stopGroup() {
-    group.close();
+    if (group != null) {
+      group.close();
+    }
   }
 
   // Guards against row changes that reach the primary only.
