Run the control port's calls on its event loop

Each commit needs four calls between members: two for the entry and two for the committed index. A hop of each call to a thread pool cost CPU time on a full machine and no call blocks for long. SQL has an event loop of its own. 43 tests of the member pass; figures follow when the machine is measured.

--- a/standins/src/main/java/org/oleanderstep/standins/member/internal/MemberRuntime.java
+++ b/standins/src/main/java/org/oleanderstep/standins/member/internal/MemberRuntime.java
@@ -43,10 +43,17 @@
   private static final long STOP_TIMEOUT_SECONDS = 5;
 
   private final MemberSettings settings;
-  private final EventLoopGroup eventLoops =
-      new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+  private final EventLoopGroup sqlLoop =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+
+  /**
+   * Also runs the calls of the control port, which only take the state's lock and write to files; a
+   * hop to another thread would cost each commit more than they do.
+   */
+  private final EventLoopGroup controlLoop =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+
   private final ExecutorService workers = Executors.newCachedThreadPool();
-  private final ExecutorService controlWorkers = Executors.newCachedThreadPool();
   private final ReplicatedLog log;
   private final ReplicationState state;
   private final HttpSqlServer sqlServer;
@@ -58,7 +65,7 @@
     this.settings = settings;
     Path directory = Path.of(settings.getDataDirectory());
     log = ReplicatedLog.open(directory);
-    sqlServer = new HttpSqlServer(eventLoops);
+    sqlServer = new HttpSqlServer(sqlLoop);
     state =
         new ReplicationState(
             settings.getName(),
@@ -125,10 +132,10 @@
     try {
       controlServer =
           NettyServerBuilder.forAddress(address(settings.getControlAddress()))
-              .bossEventLoopGroup(eventLoops)
-              .workerEventLoopGroup(eventLoops)
+              .bossEventLoopGroup(controlLoop)
+              .workerEventLoopGroup(controlLoop)
               .channelType(NioServerSocketChannel.class)
-              .executor(controlWorkers)
+              .directExecutor()
               .maxInboundMessageSize(MAX_MESSAGE_BYTES)
               .addService(new GroupControlService(state))
               .build()
@@ -144,9 +151,9 @@
       InetSocketAddress address = address(peer.getControlAddress());
       ManagedChannel channel =
           NettyChannelBuilder.forAddress(address.getHostString(), address.getPort())
-              .eventLoopGroup(eventLoops)
+              .eventLoopGroup(controlLoop)
               .channelType(NioSocketChannel.class)
-              .executor(controlWorkers)
+              .directExecutor()
               .usePlaintext()
               .build();
       channels.add(channel);
@@ -221,20 +228,20 @@
       if (!workers.awaitTermination(STOP_TIMEOUT_SECONDS, TimeUnit.SECONDS)) {
         logger.warn("statements still run after {} s", STOP_TIMEOUT_SECONDS);
       }
-      controlWorkers.shutdown();
-      if (!controlWorkers.awaitTermination(STOP_TIMEOUT_SECONDS, TimeUnit.SECONDS)) {
-        logger.warn("calls on the control port still run after {} s", STOP_TIMEOUT_SECONDS);
-      }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
+    stop(sqlLoop);
+    stop(controlLoop);
+    log.close();
+  }
+
+  private static void stop(EventLoopGroup loop) {
     boolean stopped =
-        eventLoops
-            .shutdownGracefully(0, STOP_TIMEOUT_SECONDS, TimeUnit.SECONDS)
+        loop.shutdownGracefully(0, STOP_TIMEOUT_SECONDS, TimeUnit.SECONDS)
             .awaitUninterruptibly(STOP_TIMEOUT_SECONDS, TimeUnit.SECONDS);
     if (!stopped) {
-      logger.warn("the event loops did not stop within {} s", STOP_TIMEOUT_SECONDS);
+      logger.warn("an event loop did not stop within {} s", STOP_TIMEOUT_SECONDS);
     }
-    log.close();
   }
 }
