--- /dev/null
+++ b/core/src/test/java/org/oleanderstep/core/failover/FailoverControllerTest.java
@@ -0,0 +1,212 @@
+package org.oleanderstep.core.failover;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.oleanderstep.core.failover.FailoverAction.PlannedChangeFinished;
+import org.oleanderstep.core.failover.FailoverAction.PrimaryChanged;
+import org.oleanderstep.core.failover.FailoverAction.SendFence;
+import org.oleanderstep.core.failover.FailoverAction.SendPromote;
+import org.oleanderstep.core.model.DatabaseId;
+import org.oleanderstep.core.model.MemberId;
+import org.oleanderstep.core.model.VmId;
+import org.oleanderstep.core.position.LogPosition;
+
+/** Group of a (primary of term 1), b and c; what needs a network is in the simulation. */
+class FailoverControllerTest {
+
+  private static final MemberId A = new MemberId("a");
+  private static final MemberId B = new MemberId("b");
+  private static final MemberId C = new MemberId("c");
+  private static final long MILLI = 1_000_000L;
+
+  private final FailoverController controller = newController("instance-1");
+  private final List<FailoverAction> actions = new ArrayList<>();
+  private long now = -5_000 * MILLI;
+
+  private static FailoverController newController(String instance) {
+    FailoverController controller =
+        new FailoverController(
+            FailoverSettings.DEFAULT,
+            new DatabaseId("service", "orders"),
+            new VmId("vm-1"),
+            instance,
+            List.of(A, B, C),
+            new SplittableRandom(1));
+    controller.onPeers(List.of(new VmId("vm-1")));
+    return controller;
+  }
+
+  private static MemberStatus status(
+      MemberId member, long term, long promised, long index, long silenceMillis) {
+    boolean isPrimary = member.equals(A) && term == 1 && promised == 1;
+    LogPosition position = new LogPosition(1, index);
+    return new MemberStatus(
+        member,
+        "i",
+        isPrimary ? MemberRole.PRIMARY : MemberRole.REPLICA,
+        term,
+        promised,
+        "candidate",
+        position,
+        position,
+        Duration.ofMillis(silenceMillis),
+        isPrimary,
+        false,
+        Optional.of(A));
+  }
+
+  @BeforeEach
+  void learnPrimary() {
+    actions.addAll(controller.onStatus(status(A, 1, 1, 10, 0), now));
+    assertThat(actions).containsExactly(new PrimaryChanged(A, 1));
+    actions.clear();
+  }
+
+  /** Lets b and c answer while a is silent. */
+  private void loseFor(long millis) {
+    for (long waited = 0; waited < millis; waited += 50) {
+      now += 50 * MILLI;
+      actions.addAll(controller.onTick(now));
+      if (waited % 200 == 0) {
+        actions.addAll(controller.onStatus(status(B, 1, 1, 10, waited), now));
+        actions.addAll(controller.onStatus(status(C, 1, 1, 9, waited), now));
+      }
+    }
+  }
+
+  private void loseUntilFencing() {
+    for (long waited = 0; controller.phase() != Phase.FENCING; waited += 50) {
+      now += 50 * MILLI;
+      actions.addAll(controller.onStatus(status(B, 1, 1, 10, waited), now));
+      actions.addAll(controller.onStatus(status(C, 1, 1, 9, waited), now));
+    }
+  }
+
+  private void fenceReply(MemberId member, long index, boolean accepted) {
+    MemberStatus status = status(member, 1, 2, index, 0);
+    actions.addAll(controller.onFenceReply(member, 2, accepted, status, now));
+  }
+
+  @Test
+  void should_fence_all_members_and_promote_the_most_advanced() {
+    loseUntilFencing();
+    assertThat(now + 5_000 * MILLI).isAtLeast(1_500 * MILLI);
+    assertThat(actions)
+        .containsExactly(new SendFence(A, 2), new SendFence(B, 2), new SendFence(C, 2));
+    actions.clear();
+    fenceReply(C, 9, true);
+    assertThat(actions).isEmpty();
+    fenceReply(B, 10, true);
+    assertThat(actions).containsExactly(new SendPromote(B, 2));
+    assertThat(controller.primary()).isEqualTo(Optional.empty());
+    actions.clear();
+    MemberStatus promoted = status(B, 2, 2, 10, 0);
+    actions.addAll(controller.onPromoteReply(B, 2, true, promoted, now));
+    assertThat(controller.phase()).isEqualTo(Phase.WATCHING);
+  }
+
+  // Guards against a lost reply that costs a whole attempt.
+  @Test
+  void should_repeat_an_unanswered_fence_within_the_attempt() {
+    loseUntilFencing();
+    fenceReply(C, 9, true);
+    actions.clear();
+    now += 100 * MILLI;
+    actions.addAll(controller.onTick(now));
+    assertThat(actions).containsExactly(new SendFence(A, 2), new SendFence(B, 2));
+  }
+
+  @Test
+  void should_retry_with_a_higher_term_after_a_refused_promotion() {
+    loseUntilFencing();
+    fenceReply(C, 9, true);
+    fenceReply(B, 10, true);
+    actions.addAll(controller.onPromoteReply(B, 2, false, status(B, 1, 2, 10, 0), now));
+    assertThat(controller.phase()).isEqualTo(Phase.BACKING_OFF);
+    actions.clear();
+    loseFor(400);
+    assertThat(actions).contains(new SendFence(B, 3));
+  }
+
+  // Guards against an order that rests on promises from before a pause.
+  @Test
+  void should_abandon_the_attempt_after_a_pause_and_look_again() {
+    loseUntilFencing();
+    fenceReply(C, 9, true);
+    actions.clear();
+    now += 3_000 * MILLI;
+    fenceReply(B, 10, true);
+    assertThat(actions).isEmpty();
+    assertThat(controller.phase()).isEqualTo(Phase.RELEARNING);
+    actions.addAll(controller.onStatus(status(A, 1, 1, 11, 0), now));
+    actions.addAll(controller.onStatus(status(C, 1, 1, 11, 0), now));
+    assertThat(controller.phase()).isEqualTo(Phase.WATCHING);
+    assertThat(actions).isEmpty();
+  }
+
+  // Guards against a member that answers this proxy no more being taken for a silent one.
+  @Test
+  void should_not_count_a_member_that_does_not_answer_as_silent() {
+    for (int i = 0; i < 100; i++) {
+      now += 50 * MILLI;
+      actions.addAll(controller.onStatusFailure(A, now));
+      actions.addAll(controller.onStatusFailure(B, now));
+      actions.addAll(controller.onStatus(status(C, 1, 1, 9, 0), now));
+    }
+    assertThat(actions).isEmpty();
+  }
+
+  // Guards against two processes that share a promise.
+  @Test
+  void should_have_another_candidate_name_after_a_restart() {
+    assertThat(newController("instance-2").candidate()).isNotEqualTo(controller.candidate());
+  }
+
+  @Test
+  void should_take_a_peers_report_for_a_hint_only() {
+    actions.addAll(controller.onPeerReport(2, B, now));
+    assertThat(actions).isEmpty();
+    assertThat(controller.primary()).isEqualTo(Optional.empty());
+    assertThat(controller.highestTerm()).isEqualTo(2);
+  }
+
+  @Test
+  void should_refuse_a_planned_change_to_a_member_that_cannot_take_over() {
+    actions.addAll(controller.requestPrimaryChange(Optional.of(new MemberId("x")), now));
+    actions.addAll(controller.requestPrimaryChange(Optional.of(B), now));
+    assertThat(actions).hasSize(2);
+    actions.forEach(action -> assertThat(((PlannedChangeFinished) action).changed()).isFalse());
+  }
+
+  // Guards acknowledged entries: a promise of a member that rebuilds its data proves nothing.
+  @Test
+  void should_not_count_the_promise_of_a_member_that_rebuilds_its_data() {
+    loseUntilFencing();
+    actions.clear();
+    MemberStatus b = status(B, 1, 2, 10, 0);
+    MemberStatus joining =
+        new MemberStatus(
+            B,
+            "j",
+            MemberRole.JOINING,
+            1,
+            2,
+            "candidate",
+            b.received(),
+            b.applied(),
+            b.primarySilence(),
+            false,
+            false,
+            Optional.empty());
+    actions.addAll(controller.onFenceReply(B, 2, true, joining, now));
+    fenceReply(C, 9, true);
+    assertThat(actions).isEmpty();
+  }
+}
