Exercise the proxy's own retries in the simulation

Mutation trials on a scratch copy showed that the simulation missed a RetryPolicy that repeats writes without an id: the model never credited first attempts to the budget, so no retry was ever drawn. It does now, with half a retry per attempt so that retries are frequent.

The old primary counts as stopped in a planned change even if it rebuilds its data after its promise, so that the other fences are not delayed.

--- a/core/src/main/java/org/oleanderstep/core/failover/Attempt.java
+++ b/core/src/main/java/org/oleanderstep/core/failover/Attempt.java
@@ -17,6 +17,7 @@
   private final int majority;
   private final int groupSize;
   private final Map<MemberId, MemberStatus> promises = new HashMap<>();
+  private final Set<MemberId> stopped = new HashSet<>();
   private final Set<MemberId> refusals = new HashSet<>();
   private final Map<MemberId, Long> sentNanos = new HashMap<>();
   private Optional<MemberId> chosen = Optional.empty();
@@ -29,6 +30,7 @@
   }
 
   void onPromise(MemberStatus status) {
+    stopped.add(status.member());
     // A member that rebuilds its data may have lost entries that it acknowledged before, so its
     // promise does not count towards the majority that must contain every acknowledged entry.
     if (status.role() != MemberRole.JOINING) {
@@ -43,6 +45,11 @@
     }
   }
 
+  /** Returns whether the member accepts nothing of lower terms, even if its promise is no vote. */
+  boolean hasStopped(MemberId member) {
+    return stopped.contains(member);
+  }
+
   boolean hasPromiseOf(MemberId member) {
     return promises.containsKey(member);
   }
--- a/core/src/main/java/org/oleanderstep/core/failover/FailoverController.java
+++ b/core/src/main/java/org/oleanderstep/core/failover/FailoverController.java
@@ -544,7 +544,7 @@
     if (plannedChange == null || member.equals(plannedChange.from())) {
       return true;
     }
-    return attempt.hasPromiseOf(plannedChange.from())
+    return attempt.hasStopped(plannedChange.from())
         || nowNanos - attempt.startedNanos >= resendAfterNanos;
   }
 
--- a/core/src/test/java/org/oleanderstep/core/failover/FailoverControllerTest.java
+++ b/core/src/test/java/org/oleanderstep/core/failover/FailoverControllerTest.java
@@ -135,6 +135,23 @@
     assertThat(actions).contains(new SendFence(B, 3));
   }
 
+  // Guards H2: a promise of an earlier term does not stop a primary of the term in between.
+  @Test
+  void should_not_count_a_late_promise_of_an_earlier_attempt() {
+    loseUntilFencing();
+    fenceReply(C, 9, true);
+    while (!actions.contains(new SendFence(B, 3))) {
+      loseFor(50);
+    }
+    actions.clear();
+    fenceReply(C, 9, true);
+    actions.addAll(controller.onFenceReply(B, 3, true, status(B, 1, 3, 10, 0), now));
+    assertThat(controller.phase()).isEqualTo(Phase.FENCING);
+    assertThat(actions.stream().filter(SendPromote.class::isInstance).toList()).isEmpty();
+    actions.addAll(controller.onFenceReply(C, 3, true, status(C, 1, 3, 9, 0), now));
+    assertThat(actions).contains(new SendPromote(B, 3));
+  }
+
   // Guards against an order that rests on promises from before a pause.
   @Test
   void should_abandon_the_attempt_after_a_pause_and_look_again() {
--- a/core/src/test/java/org/oleanderstep/core/simulation/ModelProxy.java
+++ b/core/src/test/java/org/oleanderstep/core/simulation/ModelProxy.java
@@ -95,6 +95,7 @@
   private SplittableRandom random;
   private FailoverController controller;
   private GroupTracker tracker;
+  private RetryBudget budget;
   private RetryPolicy retries;
   private int instance;
   private final Map<String, Integer> polls = new HashMap<>();
@@ -139,7 +140,8 @@
             settings, DATABASE, new VmId(name), "instance-" + instance, known, random);
     controller.onPeers(peers.stream().map(peer -> new VmId(peer.name)).toList());
     tracker = new GroupTracker(DATABASE, members, Set.of());
-    retries = new RetryPolicy(new RetryBudget(10, 20, Duration.ofSeconds(10), simulator::now));
+    budget = new RetryBudget(50, 20, Duration.ofSeconds(10), simulator::now);
+    retries = new RetryPolicy(budget);
     every(TICK_NANOS, () -> carryOut(controller.onTick(simulator.now())));
     every(GOSSIP_NANOS, this::gossip);
     group.values().forEach(member -> every(POLL_NANOS, () -> poll(member)));
@@ -322,6 +324,7 @@
 
   void write(
       String request, String call, boolean hasId, SessionState state, Consumer<Answer> answer) {
+    budget.onFirstAttempt();
     route(new Call(request, call, hasId, false, state, answer));
   }
 
@@ -408,6 +411,7 @@
   // Reads.
 
   void read(SessionState state, ReadRule rule, Consumer<Answer> answer) {
+    budget.onFirstAttempt();
     long arrived = simulator.now();
     RouteDecision decision =
         router.routeRead(tracker.view(), state.need(DATABASE), rule, arrived, random);
