--- a/client/src/main/java/org/oleanderstep/client/OleanderstepHttpClient.java
+++ b/client/src/main/java/org/oleanderstep/client/OleanderstepHttpClient.java
@@ -98,6 +98,10 @@
       boolean repeatable = kind == CallKind.REPEATABLE || requestId.isPresent();
       return call(request, kind, requestId, repeatable);
     } finally {
+      if (line != null && CallInspector.closesConnection(request)) {
+        line.close();
+        line = null;
+      }
       lock.unlock();
     }
   }
--- a/client/src/main/java/org/oleanderstep/client/TargetHttpClient.java
+++ b/client/src/main/java/org/oleanderstep/client/TargetHttpClient.java
@@ -15,6 +15,7 @@
 import org.apache.calcite.avatica.remote.TrustStoreConfigurable;
 import org.apache.calcite.avatica.remote.UsernamePasswordAuthenticateable;
 import org.oleanderstep.client.internal.Answer;
+import org.oleanderstep.client.internal.CallInspector;
 import org.oleanderstep.client.internal.HttpLine;
 import org.oleanderstep.client.internal.NotSentException;
 
@@ -76,6 +77,11 @@
     } catch (IOException e) {
       call.lost();
       throw new UncheckedIOException("the connection to the member was lost", e);
+    } finally {
+      if (CallInspector.closesConnection(request)) {
+        line.close();
+        line = null;
+      }
     }
   }
 }
--- a/client/src/main/java/org/oleanderstep/client/internal/CallInspector.java
+++ b/client/src/main/java/org/oleanderstep/client/internal/CallInspector.java
@@ -1,6 +1,7 @@
 package org.oleanderstep.client.internal;
 
 import com.google.protobuf.InvalidProtocolBufferException;
+import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
 import java.util.Locale;
 import java.util.Map;
@@ -47,6 +48,16 @@
       Common.ConnectionProperties.newBuilder().setHasAutoCommit(true).setAutoCommit(true).build();
   private boolean lastPrepareReads;
 
+  /** Returns whether a call closes the JDBC connection, so that it is the last one. */
+  public static boolean closesConnection(byte[] request) {
+    // The name of the call comes first: a tag byte, a length byte and the text.
+    if (request.length < 2 || request[1] <= 0 || request.length < 2 + request[1]) {
+      return false;
+    }
+    return new String(request, 2, request[1], StandardCharsets.US_ASCII)
+        .equals(REQUEST_PREFIX + "CloseConnectionRequest");
+  }
+
   /** Returns the properties that the application has set, for a proxy that does not know them. */
   public Common.ConnectionProperties properties() {
     return properties;
--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/CallContext.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/CallContext.java
@@ -13,6 +13,7 @@
   private final CallerIdentity caller;
   private final ControlSnapshot snapshot;
   private volatile SessionState session;
+  private volatile boolean transactionElsewhere;
 
   CallContext(
       CallerCall call, CallerIdentity caller, ControlSnapshot snapshot, SessionState session) {
@@ -46,6 +47,18 @@
     session = next;
   }
 
+  /**
+   * Returns whether the session is in a transaction that is not open here, so that it has ended or
+   * will end without a commit.
+   */
+  boolean isTransactionElsewhere() {
+    return transactionElsewhere;
+  }
+
+  void setTransactionElsewhere() {
+    transactionElsewhere = true;
+  }
+
   /** Takes note that a write of the session may have run. */
   void noteUnknownWrite(ControlSnapshot latest) {
     GroupView view = latest.groups().get(database());
--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/CallService.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/CallService.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
@@ -103,7 +104,7 @@
   private CallerAnswer served(Service.Response answer, CallContext call, long start) {
     inFlight.decrementAndGet();
     context.metrics().ended(new Outcome.Served(), Duration.ofNanos(System.nanoTime() - start));
-    return new CallerAnswer(encode(answer), false, token(call));
+    return new CallerAnswer(encode(answer), false, token(call), isInTransaction(call));
   }
 
   private CallerAnswer failed(Outcome outcome, CallContext call, long start) {
@@ -112,7 +113,12 @@
     return new CallerAnswer(
         encode(ErrorAnswers.of(outcome, serverName)),
         true,
-        call == null ? Optional.empty() : token(call));
+        call == null ? Optional.empty() : token(call),
+        call != null && isInTransaction(call));
+  }
+
+  private static boolean isInTransaction(CallContext call) {
+    return call.session().transaction().isPresent() && !call.isTransactionElsewhere();
   }
 
   private static byte[] encode(Service.Response answer) {
@@ -177,6 +183,10 @@
           : connections.closeLater(open.get()).thenApply(none -> answer);
     }
     CallerConnection connection = connections.get(id, call);
+    if (call.call().properties().isPresent()) {
+      // This client uses one network connection for one JDBC connection.
+      call.call().usedConnections().add(id);
+    }
     return connection.inOrder(() -> onConnection(call, connection, request), context.workers());
   }
 
@@ -191,30 +201,44 @@
         throw OutcomeException.notRun(
             NotRunReason.TRANSACTION_LOST, "the connection was closed meanwhile");
       }
-      noteForeignTransaction(call, connection);
-      return run(call, connection, request);
+      CompletableFuture<Void> adopted = adoptSession(call, connection, request);
+      return adopted.isDone()
+          ? run(call, connection, request)
+          : adopted.thenCompose(none -> run(call, connection, request));
     } catch (CallerConnection.TooManyStatementsException e) {
       throw OutcomeException.notRun(NotRunReason.BAD_REQUEST, e.getMessage());
     }
   }
 
-  /** A transaction of the token that is not open here has ended, or will never be committed. */
-  private static void noteForeignTransaction(CallContext call, CallerConnection connection) {
+  /** Takes over what the session did at other proxies since its last call here. */
+  private CompletableFuture<Void> adoptSession(
+      CallContext call, CallerConnection connection, Service.Request request) {
     Optional<TransactionToken> claimed = call.session().transaction();
-    if (claimed.isEmpty()) {
-      return;
+    Optional<CallerConnection.Transaction> open = connection.transaction();
+    boolean same =
+        open.isPresent()
+            && claimed.filter(token -> isOpenHere(call, token, open.get())).isPresent();
+    if (claimed.isPresent() && !same) {
+      call.setTransactionElsewhere();
+    }
+    // A synchronisation compares the old properties with the new ones itself.
+    if (!same && !(request instanceof Service.ConnectionSyncRequest)) {
+      call.call()
+          .properties()
+          .ifPresent(sent -> connection.setProperties(CallerConnection.fromProto(sent)));
     }
-    ControlSnapshot snapshot = call.snapshot();
-    boolean open =
-        claimed.get().vm().equals(snapshot.vm())
-            && claimed.get().instance().equals(snapshot.instance())
-            && connection
-                .transaction()
-                .filter(held -> held.number() == claimed.get().number())
-                .isPresent();
-    if (!open && connection.transaction().isEmpty()) {
-      connection.setTransactionLost(true);
+    if (open.isPresent() && !same && call.call().sessionToken().isPresent()) {
+      // The caller never got the answer that began this transaction.
+      return CompletableFuture.runAsync(connection::dropTransaction, context.workers());
     }
+    return CompletableFuture.completedFuture(null);
+  }
+
+  private static boolean isOpenHere(
+      CallContext call, TransactionToken token, CallerConnection.Transaction open) {
+    return token.vm().equals(call.snapshot().vm())
+        && token.instance().equals(call.snapshot().instance())
+        && token.number() == open.number();
   }
 
   private CompletableFuture<Service.Response> run(
@@ -336,7 +360,8 @@
       CallContext call, CallerConnection connection, Service.ConnectionSyncRequest request) {
     ConnectionState before = connection.properties();
     ConnectionState after = merge(before, request.connProps);
-    if (!before.autoCommit() && after.autoCommit()) {
+    boolean inTransaction = !before.autoCommit() || call.isTransactionElsewhere();
+    if (inTransaction && after.autoCommit()) {
       // JDBC commits the open transaction when auto-commit is turned on.
       return execution
           .commit(call, connection, Answers.COMMITTED)
@@ -454,6 +479,11 @@
     snapshot.configuration().ifPresent(connections::onConfiguration);
   }
 
+  /** Rolls back the transactions of callers whose network connection is closed. */
+  void onCallerGone(Set<CallerConnection.Id> used) {
+    used.forEach(connections::dropTransaction);
+  }
+
   /** Closes connections that nobody uses any more; called about once a second. */
   public void sweep() {
     connections.sweep(System.nanoTime());
--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/CallerAnswer.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/CallerAnswer.java
@@ -8,17 +8,20 @@
   private final byte[] body;
   private final boolean failed;
   private final Optional<String> sessionToken;
+  private final boolean inTransaction;
 
   /**
    * Creates an answer.
    *
    * @param failed whether the body is an Avatica error, which travels with HTTP status 500
    * @param sessionToken new token of the session
+   * @param inTransaction whether the caller has a transaction open on this proxy
    */
-  CallerAnswer(byte[] body, boolean failed, Optional<String> sessionToken) {
+  CallerAnswer(byte[] body, boolean failed, Optional<String> sessionToken, boolean inTransaction) {
     this.body = body;
     this.failed = failed;
     this.sessionToken = sessionToken;
+    this.inTransaction = inTransaction;
   }
 
   byte[] body() {
@@ -32,4 +35,8 @@
   Optional<String> sessionToken() {
     return sessionToken;
   }
+
+  boolean inTransaction() {
+    return inTransaction;
+  }
 }
--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/CallerCall.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/CallerCall.java
@@ -1,6 +1,7 @@
 package org.oleanderstep.proxy.internal.caller;
 
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 import org.apache.calcite.avatica.proto.Common;
 import org.oleanderstep.core.model.DatabaseId;
@@ -11,6 +12,7 @@
  * @param properties JDBC properties of the connection, if the client sent them
  * @param unknownWrite whether a write of the session has an unknown outcome since its token
  * @param callerGone whether the caller's network connection is closed
+ * @param usedConnections JDBC connections whose transactions end with the network connection
  */
 record CallerCall(
     DatabaseId database,
@@ -20,7 +22,8 @@
     Optional<String> requestId,
     long deadlineNanos,
     Optional<Common.ConnectionProperties> properties,
-    BooleanSupplier callerGone) {
+    BooleanSupplier callerGone,
+    Set<CallerConnection.Id> usedConnections) {
 
   /** Key id and secret of a call. */
   record Credentials(String keyId, String secret) {
--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/CallerConnection.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/CallerConnection.java
@@ -1,10 +1,10 @@
 package org.oleanderstep.proxy.internal.caller;
 
 import java.security.SecureRandom;
-import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
 import java.util.function.Supplier;
 import org.apache.calcite.avatica.proto.Common;
@@ -30,7 +30,7 @@
   record Id(DatabaseId database, OrganisationId organisation, String id) {}
 
   private final Id id;
-  private final Map<Integer, CallerStatement> statements = new HashMap<>();
+  private final Map<Integer, CallerStatement> statements = new ConcurrentHashMap<>();
   private final Object orderLock = new Object();
   private CompletableFuture<?> last = CompletableFuture.completedFuture(null);
   private volatile CallerIdentity caller;
@@ -86,6 +86,11 @@
     }
   }
 
+  /** Returns whether the network connection of the last call is closed. */
+  boolean isLastCallerGone() {
+    return lastCall.callerGone().getAsBoolean();
+  }
+
   ConnectionState properties() {
     return properties;
   }
@@ -176,18 +181,23 @@
     statements.values().forEach(CallerStatement::closeCursor);
   }
 
-  /** Ends everything that the connection holds; runs on a worker. */
-  void close() {
-    closed = true;
-    closeCursors();
-    statements.clear();
+  /** Rolls the open transaction back; runs on a worker. */
+  void dropTransaction() {
     Transaction open = transaction;
     transaction = null;
+    closeCursors();
     if (open != null) {
       open.lease().release();
     }
   }
 
+  /** Ends everything that the connection holds; runs on a worker. */
+  void close() {
+    closed = true;
+    dropTransaction();
+    statements.clear();
+  }
+
   /** Breaks a transaction's statement that runs now, from any thread. */
   void abortTransaction() {
     Transaction open = transaction;
--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/CallerConnections.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/CallerConnections.java
@@ -117,6 +117,14 @@
     }
   }
 
+  /** Rolls back the transaction of a connection after its running call, unless it is used again. */
+  void dropTransaction(CallerConnection.Id id) {
+    CallerConnection connection = connections.get(id);
+    if (connection != null && connection.holdsTarget() && connection.isLastCallerGone()) {
+      end(connection);
+    }
+  }
+
   private void end(CallerConnection connection) {
     connections.remove(connection.id(), connection);
     closeLater(connection)
--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/CallerHandler.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/CallerHandler.java
@@ -25,6 +25,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Queue;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.BooleanSupplier;
 import java.util.regex.Pattern;
 import org.apache.calcite.avatica.proto.Common;
@@ -52,6 +54,7 @@
   private final CallService service;
   private final BooleanSupplier draining;
   private final Queue<Pending> waiting = new ArrayDeque<>();
+  private final Set<CallerConnection.Id> usedConnections = ConcurrentHashMap.newKeySet();
   private boolean busy;
 
   /** A call that was read and waits for the answer to the one before. */
@@ -111,7 +114,8 @@
         requestId(headers.get(Headers.REQUEST_ID)),
         System.nanoTime() + deadline(headers.get(Headers.DEADLINE_MS)).toNanos(),
         properties(headers.get(Headers.CONNECTION)),
-        gone);
+        gone,
+        usedConnections);
   }
 
   private static DatabaseId database(String uri) {
@@ -204,7 +208,8 @@
 
   /** Writes an answer; on any thread. */
   private void answer(ChannelHandlerContext context, CallerAnswer answer, boolean keepAlive) {
-    boolean close = !keepAlive || draining.getAsBoolean();
+    // A transaction ends with its network connection, so that one stays open while it drains.
+    boolean close = !keepAlive || (draining.getAsBoolean() && !answer.inTransaction());
     FullHttpResponse response =
         new DefaultFullHttpResponse(
             HttpVersion.HTTP_1_1,
@@ -248,6 +253,12 @@
     context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
   }
 
+  @Override
+  public void channelInactive(ChannelHandlerContext context) {
+    waiting.clear();
+    service.onCallerGone(usedConnections);
+  }
+
   @Override
   public void userEventTriggered(ChannelHandlerContext context, Object event) {
     if (event instanceof IdleStateEvent && !busy) {
--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/CallerStatement.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/CallerStatement.java
@@ -13,7 +13,7 @@
   private static final Logger LOG = LogManager.getLogger(CallerStatement.class);
 
   private String sql;
-  private Cursor cursor;
+  private volatile Cursor cursor;
 
   /**
    * A result that is not read to its end.
--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/Execution.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/Execution.java
@@ -367,7 +367,7 @@
 
   private CompletableFuture<Service.Response> inTransaction(
       CallContext call, CallerConnection connection, StatementRun run) {
-    if (connection.isTransactionLost()) {
+    if (connection.isTransactionLost() || call.isTransactionElsewhere()) {
       return refused(NotRunReason.TRANSACTION_LOST, "roll back and run it again");
     }
     Optional<CallerConnection.Transaction> open = connection.transaction();
@@ -494,14 +494,12 @@
               () -> commitOpen(call, connection, open.get(), answer), context.workers())
           .exceptionallyCompose(failure -> resolveCommit(call, failure, answer));
     }
-    boolean elsewhere = call.session().transaction().isPresent();
-    if (connection.isTransactionLost() && !(elsewhere && requestId.isPresent())) {
+    if (connection.isTransactionLost()) {
       connection.setTransactionLost(false);
       call.setSession(call.session().withoutTransaction());
       return refused(NotRunReason.TRANSACTION_LOST, "run it again");
     }
-    connection.setTransactionLost(false);
-    if (!elsewhere) {
+    if (!call.isTransactionElsewhere()) {
       return CompletableFuture.completedFuture(answer);
     }
     call.setSession(call.session().withoutTransaction());
--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/target/MemberTraffic.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/target/MemberTraffic.java
@@ -353,6 +353,7 @@
       idle.clear();
     }
     leased.forEach(TargetConnection::abort);
+    all.addAll(leased);
     all.forEach(TargetConnection::close);
   }
 }
--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/traffic/TrafficServer.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/traffic/TrafficServer.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.oleanderstep.core.model.DatabaseId;
@@ -20,6 +21,7 @@
 import org.oleanderstep.core.scheduling.DrainPlan;
 import org.oleanderstep.proxy.internal.caller.CallService;
 import org.oleanderstep.proxy.internal.caller.CallerServer;
+import org.oleanderstep.proxy.internal.target.RequestPurge;
 import org.oleanderstep.proxy.internal.target.TargetAccount;
 import org.oleanderstep.proxy.internal.target.Targets;
 import org.oleanderstep.proxy.internal.target.TrafficContext;
@@ -38,14 +40,19 @@
   private static final Duration TICK = Duration.ofMillis(5);
   private static final Duration SWEEP = Duration.ofSeconds(1);
   private static final Duration DRAIN_CHECK = Duration.ofMillis(20);
+  private static final Duration PURGE = Duration.ofSeconds(10);
   private static final int EVENT_LOOPS = 2;
 
+  private final ControlPlane control;
+  private final TrafficSettings settings;
   private final EventLoopGroup eventLoops;
   private final ThreadPoolExecutor workers;
   private final ScheduledExecutorService timer;
   private final Targets targets;
+  private final RequestPurge purge;
   private final CallService service;
   private final CallerServer server;
+  private final AtomicBoolean closed = new AtomicBoolean();
 
   private TrafficServer(
       ControlPlane control,
@@ -53,6 +60,8 @@
       TargetAccount account,
       MeterRegistry registry,
       InstantSource wallClock) {
+    this.control = control;
+    this.settings = settings;
     eventLoops =
         new MultiThreadIoEventLoopGroup(
             EVENT_LOOPS,
@@ -74,6 +83,7 @@
         new TrafficContext(
             control, settings, account, workers, this::later, new TrafficMetrics(registry));
     targets = new Targets(context);
+    purge = new RequestPurge(targets, wallClock);
     service = new CallService(context, targets, wallClock);
     server = new CallerServer(eventLoops, settings, service);
   }
@@ -90,9 +100,21 @@
     traffic.server.start();
     traffic.every(TICK, traffic.targets::tick);
     traffic.every(SWEEP, traffic.service::sweep);
+    traffic.every(PURGE, traffic::purge);
     return traffic;
   }
 
+  private void purge() {
+    for (DatabaseId database : control.snapshot().purgeDuties()) {
+      var unused = purge(database, settings.requestIdRetention());
+    }
+  }
+
+  /** Removes a batch of old request ids of a database; returns how many. */
+  CompletableFuture<Integer> purge(DatabaseId database, Duration retention) {
+    return purge.run(database, retention);
+  }
+
   private void later(Duration delay, Runnable work) {
     var unused = timer.schedule(() -> guarded(work), delay.toNanos(), TimeUnit.NANOSECONDS);
   }
@@ -152,6 +174,9 @@
 
   @Override
   public void close() {
+    if (!closed.compareAndSet(false, true)) {
+      return;
+    }
     server.close();
     timer.shutdownNow();
     targets.close();
--- a/proxy/src/test/java/org/oleanderstep/proxy/internal/traffic/TestProxy.java
+++ b/proxy/src/test/java/org/oleanderstep/proxy/internal/traffic/TestProxy.java
@@ -91,6 +91,11 @@
     return DriverManager.getConnection(url, properties);
   }
 
+  /** Ends the proxy at once, as a crash does. */
+  void kill() {
+    traffic.close();
+  }
+
   @Override
   public void close() {
     traffic.close();
