--- a/client/src/main/java/org/oleanderstep/client/OleanderstepHttpClient.java
+++ b/client/src/main/java/org/oleanderstep/client/OleanderstepHttpClient.java
@@ -34,10 +34,16 @@
  * as {@code host:port}, {@code timeoutMs} limits each call, and {@code requestIds=always} gives a
  * random request id to each call that may write.
  *
- * <p>A call is sent again, to the next proxy, only if no byte of it was sent, if it is a read
- * outside a transaction, or if it carries a request id. Otherwise a call without an answer fails
- * with SQLSTATE 08007 when it may have changed data, 40001 when its transaction is lost with the
- * proxy, and 08006 for other reads. A call that was not sent at all fails with 08001.
+ * <p>The driver sends a change of the commit mode only when it creates or prepares a statement.
+ * Call {@code connection.getAutoCommit()} after {@code setAutoCommit(false)} if the transaction
+ * uses statements that were prepared before; it makes the driver send the mode. Without it the
+ * proxy refuses the commit with SQLSTATE 25P01.
+ *
+ * <p>A call is sent again, to the next proxy, only if no byte of it was sent, if the proxy is
+ * stopping and has not run it, if it is a read outside a transaction, or if it carries a request
+ * id. Otherwise a call without an answer fails with SQLSTATE 08007 when it may have changed data,
+ * 40001 when its transaction is lost with the proxy, and 08006 for other reads. A call that was not
+ * sent at all fails with 08001.
  */
 // The driver hands the truststore over through this interface only, although it is deprecated.
 @SuppressWarnings("deprecation")
@@ -58,6 +64,7 @@
   private int current;
   private String session;
   private boolean unknownWrite;
+  private boolean transactionStarted;
   private boolean transactionLost;
 
   /** Creates the client of one JDBC connection; called by the driver. */
@@ -151,7 +158,12 @@
       try {
         Answer answer =
             line().call(uri, headers(requestId, remaining), request, answerTimeout(remaining));
-        return accept(answer);
+        boolean last = attempt == proxies.uris().size() - 1;
+        if (!last && !transactionStarted && answer.isStopping()) {
+          nextProxy();
+          continue;
+        }
+        return accept(answer, kind);
       } catch (NotSentException e) {
         nextProxy();
       } catch (IOException e) {
@@ -172,7 +184,7 @@
     return Duration.ofNanos(remainingNanos).plus(ANSWER_GRACE);
   }
 
-  private byte[] accept(Answer answer) throws IOException {
+  private byte[] accept(Answer answer, CallKind kind) throws IOException {
     if (!answer.isAvatica()) {
       throw new IOException("the proxy answered with HTTP status " + answer.status());
     }
@@ -183,6 +195,11 @@
               session = token;
               unknownWrite = false;
             });
+    if (kind == CallKind.IN_TRANSACTION && answer.status() == 200) {
+      transactionStarted = true;
+    } else if (kind == CallKind.COMMIT || kind == CallKind.ROLLBACK) {
+      transactionStarted = false;
+    }
     inspector.onAnswer(answer.body());
     return answer.body();
   }
--- a/client/src/main/java/org/oleanderstep/client/internal/Answer.java
+++ b/client/src/main/java/org/oleanderstep/client/internal/Answer.java
@@ -6,6 +6,8 @@
 /** A complete HTTP answer. */
 public final class Answer {
 
+  private static final String STOPPING = "57P01";
+
   private final int status;
   private final byte[] body;
   private final UnaryOperator<String> headers;
@@ -31,8 +33,13 @@
     return Optional.ofNullable(headers.apply(name));
   }
 
+  /** Returns whether the server says that it is stopping and has not run the call. */
+  public boolean isStopping() {
+    return status == 500 && STOPPING.equals(ErrorAnswers.sqlState(body));
+  }
+
   /** Returns whether the body is an Avatica answer: a result, or an error of the server. */
   public boolean isAvatica() {
-    return status == 200 || status == 500;
+    return status == 200 || status == 401 || status == 500;
   }
 }
--- a/client/src/main/java/org/oleanderstep/client/internal/ErrorAnswers.java
+++ b/client/src/main/java/org/oleanderstep/client/internal/ErrorAnswers.java
@@ -1,9 +1,12 @@
 package org.oleanderstep.client.internal;
 
+import com.google.protobuf.InvalidProtocolBufferException;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.List;
 import org.apache.calcite.avatica.AvaticaSeverity;
+import org.apache.calcite.avatica.proto.Common;
+import org.apache.calcite.avatica.proto.Responses;
 import org.apache.calcite.avatica.remote.ProtobufTranslationImpl;
 import org.apache.calcite.avatica.remote.Service;
 
@@ -29,4 +32,14 @@
       throw new UncheckedIOException(e);
     }
   }
+
+  /** Returns the SQLSTATE of an error answer, empty for other bytes. */
+  static String sqlState(byte[] answer) {
+    try {
+      Common.WireMessage wire = Common.WireMessage.parseFrom(answer);
+      return Responses.ErrorResponse.parseFrom(wire.getWrappedMessage()).getSqlState();
+    } catch (InvalidProtocolBufferException e) {
+      return "";
+    }
+  }
 }
--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/CallService.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/CallService.java
@@ -104,7 +104,7 @@
   private CallerAnswer served(Service.Response answer, CallContext call, long start) {
     inFlight.decrementAndGet();
     context.metrics().ended(new Outcome.Served(), Duration.ofNanos(System.nanoTime() - start));
-    return new CallerAnswer(encode(answer), false, token(call), isInTransaction(call));
+    return new CallerAnswer(encode(answer), false, false, token(call), isInTransaction(call));
   }
 
   private CallerAnswer failed(Outcome outcome, CallContext call, long start) {
@@ -113,6 +113,7 @@
     return new CallerAnswer(
         encode(ErrorAnswers.of(outcome, serverName)),
         true,
+        outcome instanceof Outcome.NotRun notRun && notRun.reason() == NotRunReason.KEY_REFUSED,
         call == null ? Optional.empty() : token(call),
         call != null && isInTransaction(call));
   }
@@ -259,6 +260,9 @@
     if (request instanceof Service.FetchRequest fetch) {
       return fetch(call, connection, fetch);
     }
+    if (request instanceof Service.CommitRequest || request instanceof Service.RollbackRequest) {
+      checkTransactionMode(call, connection);
+    }
     if (request instanceof Service.CommitRequest) {
       return execution.commit(call, connection, Answers.COMMITTED);
     }
@@ -268,6 +272,10 @@
     if (request instanceof Service.SyncResultsRequest) {
       throw cursorGone();
     }
+    Optional<Service.Response> missing = missingStatement(connection, request);
+    if (missing.isPresent()) {
+      return completed(missing.get());
+    }
     Optional<StatementRun> statement = statement(connection, request);
     if (statement.isPresent()) {
       return afterClosingCursor(
@@ -276,6 +284,25 @@
     return metadataCalls.answer(call, connection, request);
   }
 
+  /**
+   * The driver sends a change of the commit mode only when a statement is created or prepared.
+   * Statements that were prepared before have then run in auto-commit mode, which must not pass for
+   * a transaction.
+   */
+  private static void checkTransactionMode(CallContext call, CallerConnection connection) {
+    if (connection.properties().autoCommit()
+        && connection.transaction().isEmpty()
+        && !connection.isTransactionLost()
+        && !call.isTransactionElsewhere()) {
+      throw new OutcomeException(
+          new Outcome.Failed(
+              "25P01",
+              -1,
+              "the connection is in auto-commit mode, so each statement has committed by itself;"
+                  + " call getAutoCommit() after setAutoCommit(false) to make the driver send it"));
+    }
+  }
+
   /** The last result of a statement ends when the statement runs again. */
   private CompletableFuture<Service.Response> afterClosingCursor(
       StatementRun run, Supplier<CompletableFuture<Service.Response>> next) {
@@ -326,18 +353,46 @@
     return wanted <= 0 ? Math.min(most, 100) : Math.min(wanted, most);
   }
 
+  /**
+   * Answers the execution of a statement that was prepared at another proxy, unless the call brings
+   * its text; the driver then prepares it again.
+   */
+  private Optional<Service.Response> missingStatement(
+      CallerConnection connection, Service.Request request) {
+    if (request instanceof Service.ExecuteRequest call) {
+      boolean known =
+          isPrepared(connection, call.statementHandle.id)
+              || !sentText(call.statementHandle.signature).isEmpty();
+      return known
+          ? Optional.empty()
+          : Optional.of(new Service.ExecuteResponse(List.of(), true, metadata));
+    }
+    if (request instanceof Service.ExecuteBatchRequest call) {
+      return isPrepared(connection, call.statementId)
+          ? Optional.empty()
+          : Optional.of(
+              new Service.ExecuteBatchResponse(
+                  call.connectionId, call.statementId, null, true, metadata));
+    }
+    return Optional.empty();
+  }
+
+  private static boolean isPrepared(CallerConnection connection, int statementId) {
+    return connection.find(statementId).filter(found -> !found.sql().isEmpty()).isPresent();
+  }
+
+  private static String sentText(Meta.Signature sent) {
+    return sent == null || sent.sql == null ? "" : sent.sql;
+  }
+
   /** Returns the text of a prepared statement, also of one that was prepared at another proxy. */
   private static String preparedText(
       CallerConnection connection, int statementId, Meta.Signature sent) {
     CallerStatement statement = connection.statement(statementId);
-    String sentText = sent == null || sent.sql == null ? "" : sent.sql;
-    if (statement.sql().isEmpty() || !(sentText.isEmpty() || sentText.equals(statement.sql()))) {
+    String sentText = sentText(sent);
+    if (!sentText.isEmpty()) {
       statement.setSql(sentText);
     }
-    if (statement.sql().isEmpty()) {
-      throw new OutcomeException(
-          new Outcome.Failed("26000", -1, "the statement is not prepared here; prepare it again"));
-    }
     return statement.sql();
   }
 
--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/CallerAnswer.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/CallerAnswer.java
@@ -7,6 +7,7 @@
 
   private final byte[] body;
   private final boolean failed;
+  private final boolean keyRefused;
   private final Optional<String> sessionToken;
   private final boolean inTransaction;
 
@@ -14,12 +15,19 @@
    * Creates an answer.
    *
    * @param failed whether the body is an Avatica error, which travels with HTTP status 500
+   * @param keyRefused whether the call was refused for its key
    * @param sessionToken new token of the session
    * @param inTransaction whether the caller has a transaction open on this proxy
    */
-  CallerAnswer(byte[] body, boolean failed, Optional<String> sessionToken, boolean inTransaction) {
+  CallerAnswer(
+      byte[] body,
+      boolean failed,
+      boolean keyRefused,
+      Optional<String> sessionToken,
+      boolean inTransaction) {
     this.body = body;
     this.failed = failed;
+    this.keyRefused = keyRefused;
     this.sessionToken = sessionToken;
     this.inTransaction = inTransaction;
   }
@@ -32,6 +40,10 @@
     return failed;
   }
 
+  boolean keyRefused() {
+    return keyRefused;
+  }
+
   Optional<String> sessionToken() {
     return sessionToken;
   }
--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/CallerHandler.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/CallerHandler.java
@@ -201,24 +201,23 @@
     busy = true;
     Pending next = waiting.remove();
     var unused =
-        service
-            .serve(next.call, next.body)
-            .thenAccept(answer -> answer(context, answer, next.keepAlive));
+        service.serve(next.call, next.body).thenAccept(answer -> answer(context, answer, next));
   }
 
   /** Writes an answer; on any thread. */
-  private void answer(ChannelHandlerContext context, CallerAnswer answer, boolean keepAlive) {
+  private void answer(ChannelHandlerContext context, CallerAnswer answer, Pending pending) {
     // A transaction ends with its network connection, so that one stays open while it drains.
-    boolean close = !keepAlive || (draining.getAsBoolean() && !answer.inTransaction());
+    boolean close = !pending.keepAlive || (draining.getAsBoolean() && !answer.inTransaction());
     FullHttpResponse response =
         new DefaultFullHttpResponse(
-            HttpVersion.HTTP_1_1,
-            answer.failed() ? HttpResponseStatus.INTERNAL_SERVER_ERROR : HttpResponseStatus.OK,
-            Unpooled.wrappedBuffer(answer.body()));
+            HttpVersion.HTTP_1_1, status(answer, pending), Unpooled.wrappedBuffer(answer.body()));
     HttpHeaders headers = response.headers();
     headers.set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_OCTET_STREAM);
     headers.setInt(HttpHeaderNames.CONTENT_LENGTH, answer.body().length);
     answer.sessionToken().ifPresent(token -> headers.set(Headers.SESSION, token));
+    if (response.status().equals(HttpResponseStatus.UNAUTHORIZED)) {
+      headers.set(HttpHeaderNames.WWW_AUTHENTICATE, "Basic realm=\"oleanderstep\"");
+    }
     if (close) {
       headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
     }
@@ -229,6 +228,16 @@
     }
   }
 
+  /** The stock client of the driver sends its key only after it was asked for it. */
+  private static HttpResponseStatus status(CallerAnswer answer, Pending pending) {
+    if (!answer.failed()) {
+      return HttpResponseStatus.OK;
+    }
+    return answer.keyRefused() && pending.call.credentials().isEmpty()
+        ? HttpResponseStatus.UNAUTHORIZED
+        : HttpResponseStatus.INTERNAL_SERVER_ERROR;
+  }
+
   private void write(ChannelHandlerContext context, FullHttpResponse response, boolean close) {
     busy = false;
     var written = context.writeAndFlush(response);
--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/target/TargetConnection.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/target/TargetConnection.java
@@ -136,6 +136,12 @@
     if (!wanted.catalog().equals(state.catalog())) {
       jdbc.setCatalog(wanted.catalog().isEmpty() ? defaultCatalog : wanted.catalog());
     }
+    // The Avatica driver keeps settings to itself until the next statement is created or prepared;
+    // a prepared statement that is only executed again would run in the old commit mode. Asking for
+    // a setting makes the driver send them.
+    if (jdbc.getAutoCommit() != wanted.autoCommit()) {
+      throw new SQLException("the member did not take the commit mode", "08006");
+    }
     state = wanted;
   }
 
--- a/proxy/src/test/java/org/oleanderstep/proxy/internal/traffic/LossyRelay.java
+++ b/proxy/src/test/java/org/oleanderstep/proxy/internal/traffic/LossyRelay.java
@@ -1,5 +1,6 @@
 package org.oleanderstep.proxy.internal.traffic;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -7,12 +8,16 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
 /** Forwards bytes to a proxy, and can break connections in the middle of a call. */
 final class LossyRelay implements AutoCloseable {
 
+  private static final int MAX_RECORDED = 1 << 20;
+
+  private final ByteArrayOutputStream sent = new ByteArrayOutputStream();
   private final ServerSocket server;
   private final int targetPort;
   private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
@@ -79,6 +84,9 @@
           cutNextAnswer = false;
           return;
         }
+        if (!answers) {
+          record(buffer, n);
+        }
         out.write(buffer, 0, n);
       }
     } catch (IOException e) {
@@ -87,6 +95,17 @@
     }
   }
 
+  private synchronized void record(byte[] buffer, int length) {
+    if (sent.size() < MAX_RECORDED) {
+      sent.write(buffer, 0, length);
+    }
+  }
+
+  /** Returns what callers have sent, one character for each byte. */
+  synchronized String sentText() {
+    return sent.toString(StandardCharsets.ISO_8859_1);
+  }
+
   private static void close(AutoCloseable resource) {
     try {
       resource.close();
--- a/proxy/src/test/java/org/oleanderstep/proxy/internal/traffic/TestGroup.java
+++ b/proxy/src/test/java/org/oleanderstep/proxy/internal/traffic/TestGroup.java
@@ -12,6 +12,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import org.oleanderstep.schema.v1.MemberPeer;
 import org.oleanderstep.schema.v1.MemberSettings;
 import org.oleanderstep.schema.v1.Role;
@@ -27,6 +28,7 @@
   private static final long WAIT_NANOS = 10_000_000_000L;
 
   private final Map<String, Member> members = new LinkedHashMap<>();
+  private final Map<String, String> relays = new ConcurrentHashMap<>();
 
   TestGroup(Path directory) {
     List<String> names = List.of("a", "b", "c");
@@ -81,13 +83,22 @@
     }
   }
 
+  /** Lets proxies that start from now on reach a member through a relay. */
+  void reachThrough(String name, LossyRelay relay) {
+    relays.put(name, relay.address());
+  }
+
+  void reachDirectly(String name) {
+    relays.remove(name);
+  }
+
   Map<String, Member> members() {
     return members;
   }
 
   String url(String name) {
-    return "jdbc:avatica:remote:url=http://127.0.0.1:"
-        + members.get(name).sqlAddress().getPort()
+    return "jdbc:avatica:remote:url=http://"
+        + relays.getOrDefault(name, "127.0.0.1:" + members.get(name).sqlAddress().getPort())
         + ";serialization=protobuf;authentication=BASIC";
   }
 
