Move prepared statements to proxies that do not know them

The driver neither sends the text of a prepared statement when it executes it, nor prepares it again. Our client brings the text when a proxy says that it does not know the statement. A stopping proxy goes on answering for 300 ms before it closes its listener, so that callers in the middle of connecting are told to go elsewhere.

--- a/client/src/main/java/org/oleanderstep/client/Headers.java
+++ b/client/src/main/java/org/oleanderstep/client/Headers.java
@@ -18,6 +18,12 @@
    */
   public static final String CONNECTION = "Oleanderstep-Connection";
 
+  /**
+   * Base64 of the UTF-8 text of the prepared statement that the call executes; sent again with it
+   * to a proxy that does not know the statement.
+   */
+  public static final String STATEMENT = "Oleanderstep-Statement";
+
   /** Present when a write of the session has an unknown outcome since the token was received. */
   public static final String UNKNOWN_WRITE = "Oleanderstep-Unknown-Write";
 
--- a/client/src/main/java/org/oleanderstep/client/OleanderstepHttpClient.java
+++ b/client/src/main/java/org/oleanderstep/client/OleanderstepHttpClient.java
@@ -50,6 +50,7 @@
 public final class OleanderstepHttpClient
     implements AvaticaHttpClient, UsernamePasswordAuthenticateable, TrustStoreConfigurable {
 
+  private static final int MAX_STATEMENT_HEADER = 16 << 10;
   private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
   // The proxy answers at the deadline; its answer needs some time on the way.
   private static final Duration ANSWER_GRACE = Duration.ofSeconds(1);
@@ -163,7 +164,7 @@
           nextProxy();
           continue;
         }
-        return accept(answer, kind);
+        return accept(runMissingStatement(uri, answer, request, requestId, deadline), kind);
       } catch (NotSentException e) {
         nextProxy();
       } catch (IOException e) {
@@ -180,6 +181,31 @@
     return sent ? lostAnswer(kind) : notSent(kind);
   }
 
+  /** Brings the text of a statement to a proxy that does not know it and so has not run it. */
+  private Answer runMissingStatement(
+      URI uri, Answer answer, byte[] request, Optional<String> requestId, long deadline)
+      throws IOException {
+    Optional<String> text =
+        inspector
+            .textOfMissingStatement(answer.body())
+            .filter(OleanderstepHttpClient::fitsIntoHeader);
+    long remaining = deadline - System.nanoTime();
+    if (text.isEmpty() || remaining <= 0) {
+      return answer;
+    }
+    Map<String, String> headers = headers(requestId, remaining);
+    headers.put(
+        Headers.STATEMENT,
+        Base64.getUrlEncoder()
+            .withoutPadding()
+            .encodeToString(text.get().getBytes(StandardCharsets.UTF_8)));
+    return line().call(uri, headers, request, answerTimeout(remaining));
+  }
+
+  private static boolean fitsIntoHeader(String text) {
+    return text.length() <= MAX_STATEMENT_HEADER;
+  }
+
   private static Duration answerTimeout(long remainingNanos) {
     return Duration.ofNanos(remainingNanos).plus(ANSWER_GRACE);
   }
--- a/client/src/main/java/org/oleanderstep/client/internal/CallInspector.java
+++ b/client/src/main/java/org/oleanderstep/client/internal/CallInspector.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.apache.calcite.avatica.proto.Common;
 import org.apache.calcite.avatica.proto.Requests;
@@ -21,12 +22,15 @@
 
   private static final String REQUEST_PREFIX = "org.apache.calcite.avatica.proto.Requests$";
   private static final int REMEMBERED_STATEMENTS = 256;
+  // An answer that a statement is missing has no rows.
+  private static final int MAX_MISSING_ANSWER = 512;
 
   private static final Set<String> METADATA =
       Set.of(
           "OpenConnectionRequest",
           "CloseConnectionRequest",
           "CreateStatementRequest",
+          "CloseStatementRequest",
           "ConnectionSyncRequest",
           "DatabasePropertyRequest",
           "CatalogsRequest",
@@ -37,25 +41,21 @@
           "ColumnsRequest",
           "PrepareRequest");
 
-  private final Map<Integer, Boolean> preparedReads =
+  private final Map<Integer, String> preparedTexts =
       new LinkedHashMap<>() {
         @Override
-        protected boolean removeEldestEntry(Map.Entry<Integer, Boolean> eldest) {
+        protected boolean removeEldestEntry(Map.Entry<Integer, String> eldest) {
           return size() > REMEMBERED_STATEMENTS;
         }
       };
   private Common.ConnectionProperties properties =
       Common.ConnectionProperties.newBuilder().setHasAutoCommit(true).setAutoCommit(true).build();
-  private boolean lastPrepareReads;
+  private String lastPrepared = "";
+  private int lastExecuted;
 
   /** Returns whether a call closes the JDBC connection, so that it is the last one. */
   public static boolean closesConnection(byte[] request) {
-    // The name of the call comes first: a tag byte, a length byte and the text.
-    if (request.length < 2 || request[1] <= 0 || request.length < 2 + request[1]) {
-      return false;
-    }
-    return new String(request, 2, request[1], StandardCharsets.US_ASCII)
-        .equals(REQUEST_PREFIX + "CloseConnectionRequest");
+    return isNamed(request, "CloseConnectionRequest");
   }
 
   /** Returns the properties that the application has set, for a proxy that does not know them. */
@@ -79,25 +79,29 @@
     return switch (type) {
       case "CommitRequest" -> CallKind.COMMIT;
       case "RollbackRequest" -> CallKind.ROLLBACK;
-      case "FetchRequest", "SyncResultsRequest", "CloseStatementRequest" -> CallKind.READ_ONLY;
+      case "FetchRequest", "SyncResultsRequest" -> CallKind.READ_ONLY;
       case "ConnectionSyncRequest" ->
           sync(Requests.ConnectionSyncRequest.parseFrom(wire.getWrappedMessage()));
       case "PrepareRequest" -> {
-        lastPrepareReads =
-            reads(Requests.PrepareRequest.parseFrom(wire.getWrappedMessage()).getSql());
+        lastPrepared = Requests.PrepareRequest.parseFrom(wire.getWrappedMessage()).getSql();
         yield CallKind.REPEATABLE;
       }
       case "PrepareAndExecuteRequest" ->
           statement(
               reads(
                   Requests.PrepareAndExecuteRequest.parseFrom(wire.getWrappedMessage()).getSql()));
-      case "ExecuteRequest" ->
-          statement(
-              preparedReads.getOrDefault(
-                  Requests.ExecuteRequest.parseFrom(wire.getWrappedMessage())
-                      .getStatementHandle()
-                      .getId(),
-                  false));
+      case "ExecuteRequest" -> {
+        lastExecuted =
+            Requests.ExecuteRequest.parseFrom(wire.getWrappedMessage())
+                .getStatementHandle()
+                .getId();
+        yield statement(reads(preparedTexts.getOrDefault(lastExecuted, "")));
+      }
+      case "ExecuteBatchRequest" -> {
+        lastExecuted =
+            Requests.ExecuteBatchRequest.parseFrom(wire.getWrappedMessage()).getStatementId();
+        yield statement(false);
+      }
       default -> METADATA.contains(type) ? CallKind.REPEATABLE : statement(false);
     };
   }
@@ -139,19 +143,54 @@
 
   /** Takes note of the statement id that a prepare call was answered with. */
   public void onAnswer(byte[] answer) {
+    if (!isNamed(answer, "PrepareResponse")) {
+      return;
+    }
     try {
       Common.WireMessage wire = Common.WireMessage.parseFrom(answer);
-      if (wire.getName().endsWith("$PrepareResponse")) {
-        preparedReads.put(
-            Responses.PrepareResponse.parseFrom(wire.getWrappedMessage()).getStatement().getId(),
-            lastPrepareReads);
-      }
+      preparedTexts.put(
+          Responses.PrepareResponse.parseFrom(wire.getWrappedMessage()).getStatement().getId(),
+          lastPrepared);
     } catch (InvalidProtocolBufferException e) {
       // The driver reports an answer that cannot be parsed.
       return;
     }
   }
 
+  /**
+   * Returns the text of the statement of the last call, if the answer says that the proxy does not
+   * know the statement and so has not run it.
+   */
+  public Optional<String> textOfMissingStatement(byte[] answer) {
+    boolean missing =
+        answer.length <= MAX_MISSING_ANSWER
+            && (isMissing(answer, "ExecuteResponse") || isMissing(answer, "ExecuteBatchResponse"));
+    return missing ? Optional.ofNullable(preparedTexts.get(lastExecuted)) : Optional.empty();
+  }
+
+  private static boolean isMissing(byte[] answer, String type) {
+    if (!isNamed(answer, type)) {
+      return false;
+    }
+    try {
+      Common.WireMessage wire = Common.WireMessage.parseFrom(answer);
+      return type.equals("ExecuteResponse")
+          ? Responses.ExecuteResponse.parseFrom(wire.getWrappedMessage()).getMissingStatement()
+          : Responses.ExecuteBatchResponse.parseFrom(wire.getWrappedMessage())
+              .getMissingStatement();
+    } catch (InvalidProtocolBufferException e) {
+      return false;
+    }
+  }
+
+  /** The name of a message comes first: a tag byte, a length byte and the text. */
+  private static boolean isNamed(byte[] message, String type) {
+    if (message.length < 2 || message[1] <= 0 || message.length < 2 + message[1]) {
+      return false;
+    }
+    return new String(message, 2, message[1], StandardCharsets.US_ASCII).endsWith("$" + type);
+  }
+
   private static boolean reads(String sql) {
     String text = sql.stripLeading().toLowerCase(Locale.ROOT);
     boolean query =
--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/CallService.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/CallService.java
@@ -272,7 +272,7 @@
     if (request instanceof Service.SyncResultsRequest) {
       throw cursorGone();
     }
-    Optional<Service.Response> missing = missingStatement(connection, request);
+    Optional<Service.Response> missing = missingStatement(call, connection, request);
     if (missing.isPresent()) {
       return completed(missing.get());
     }
@@ -325,15 +325,13 @@
       return Optional.of(
           builder(connection, id)
               .rows(-1, frameRows(prepared.maxRowCount))
-              .prepared(
-                  preparedText(connection, id, prepared.statementHandle.signature),
-                  prepared.parameterValues));
+              .prepared(connection.statement(id).sql(), prepared.parameterValues));
     }
     if (request instanceof Service.PrepareAndExecuteBatchRequest batch) {
       return Optional.of(builder(connection, batch.statementId).plainBatch(batch.sqlCommands));
     }
     if (request instanceof Service.ExecuteBatchRequest batch) {
-      String sql = preparedText(connection, batch.statementId, null);
+      String sql = connection.statement(batch.statementId).sql();
       List<List<TypedValue>> rows =
           batch.hasProtoUpdateBatches()
               ? StatementRun.rows(batch.getProtoUpdateBatches())
@@ -355,24 +353,25 @@
 
   /**
    * Answers the execution of a statement that was prepared at another proxy, unless the call brings
-   * its text; the driver then prepares it again.
+   * its text; our client then sends the call again with the text.
    */
   private Optional<Service.Response> missingStatement(
-      CallerConnection connection, Service.Request request) {
-    if (request instanceof Service.ExecuteRequest call) {
-      boolean known =
-          isPrepared(connection, call.statementHandle.id)
-              || !sentText(call.statementHandle.signature).isEmpty();
-      return known
+      CallContext call, CallerConnection connection, Service.Request request) {
+    Optional<String> text = call.call().statementText();
+    if (request instanceof Service.ExecuteRequest execute) {
+      int id = execute.statementHandle.id;
+      text.ifPresent(sent -> connection.statement(id).setSql(sent));
+      return isPrepared(connection, id)
           ? Optional.empty()
           : Optional.of(new Service.ExecuteResponse(List.of(), true, metadata));
     }
-    if (request instanceof Service.ExecuteBatchRequest call) {
-      return isPrepared(connection, call.statementId)
+    if (request instanceof Service.ExecuteBatchRequest batch) {
+      text.ifPresent(sent -> connection.statement(batch.statementId).setSql(sent));
+      return isPrepared(connection, batch.statementId)
           ? Optional.empty()
           : Optional.of(
               new Service.ExecuteBatchResponse(
-                  call.connectionId, call.statementId, null, true, metadata));
+                  batch.connectionId, batch.statementId, new long[0], true, metadata));
     }
     return Optional.empty();
   }
@@ -381,21 +380,6 @@
     return connection.find(statementId).filter(found -> !found.sql().isEmpty()).isPresent();
   }
 
-  private static String sentText(Meta.Signature sent) {
-    return sent == null || sent.sql == null ? "" : sent.sql;
-  }
-
-  /** Returns the text of a prepared statement, also of one that was prepared at another proxy. */
-  private static String preparedText(
-      CallerConnection connection, int statementId, Meta.Signature sent) {
-    CallerStatement statement = connection.statement(statementId);
-    String sentText = sentText(sent);
-    if (!sentText.isEmpty()) {
-      statement.setSql(sentText);
-    }
-    return statement.sql();
-  }
-
   private CompletableFuture<Service.Response> closeStatement(
       CallerConnection connection, Service.CloseStatementRequest request) {
     Service.Response answer = new Service.CloseStatementResponse(metadata);
--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/CallerHandler.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/CallerHandler.java
@@ -114,6 +114,8 @@
         requestId(headers.get(Headers.REQUEST_ID)),
         System.nanoTime() + deadline(headers.get(Headers.DEADLINE_MS)).toNanos(),
         properties(headers.get(Headers.CONNECTION)),
+        Optional.ofNullable(headers.get(Headers.STATEMENT))
+            .map(text -> new String(decode(text), StandardCharsets.UTF_8)),
         gone,
         usedConnections);
   }
--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/CallerServer.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/CallerServer.java
@@ -25,7 +25,7 @@
 
   private static final Logger LOG = LogManager.getLogger(CallerServer.class);
   private static final int MAX_INITIAL_LINE = 1_024;
-  private static final int MAX_HEADERS = 16_384;
+  private static final int MAX_HEADERS = 64 << 10;
   private static final int MAX_CHUNK = 64 << 10;
 
   private final EventLoopGroup eventLoops;
--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/traffic/TrafficServer.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/traffic/TrafficServer.java
@@ -39,6 +39,7 @@
   private static final Logger LOG = LogManager.getLogger(TrafficServer.class);
   private static final Duration TICK = Duration.ofMillis(5);
   private static final Duration SWEEP = Duration.ofSeconds(1);
+  private static final Duration DRAIN_LINGER = Duration.ofMillis(300);
   private static final Duration DRAIN_CHECK = Duration.ofMillis(20);
   private static final Duration PURGE = Duration.ofSeconds(10);
   private static final int EVENT_LOOPS = 2;
@@ -162,8 +163,15 @@
     DrainPlan.Rule rule =
         plan.rule(System.nanoTime(), service.openTransactions(), service.inFlight());
     if (rule == DrainPlan.Rule.DONE) {
-      server.stopAccepting();
-      done.complete(null);
+      // Callers that connect in this moment are told to use another proxy; closing the listener at
+      // once would reset them in the middle of a call.
+      service.refuseAll();
+      later(
+          DRAIN_LINGER,
+          () -> {
+            server.stopAccepting();
+            done.complete(null);
+          });
       return;
     }
     if (System.nanoTime() - plan.endsAt() >= 0) {
--- a/proxy/src/test/java/org/oleanderstep/proxy/internal/traffic/CallerKeyTest.java
+++ b/proxy/src/test/java/org/oleanderstep/proxy/internal/traffic/CallerKeyTest.java
@@ -65,8 +65,7 @@
             Exception.class,
             () -> {
               try (Connection connection =
-                      TestProxy.connect(
-                          proxy.url(TestControl.ORDERS, ""), key, secret, key != null);
+                      TestProxy.connect(proxy.url(TestControl.ORDERS, ""), key, secret, true);
                   Statement statement = connection.createStatement()) {
                 statement.executeQuery("select 1");
               }
