--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/target/DatabaseTraffic.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/target/DatabaseTraffic.java
@@ -121,6 +121,8 @@
       request.setWaitKind(TrafficMetrics.Wait.REPLICA);
       long until = Math.min(request.deadlineNanos() - now, wait.limit().toNanos()) + now;
       await(request, until, Optional.of(wait.member()), wait.position());
+      // Waits for a replica are shorter than the regular tick.
+      context.scheduler().after(Duration.ofNanos(until - now), () -> tick(System.nanoTime()));
     } else if (decision instanceof RouteDecision.WaitForPrimary) {
       request.setWaitKind(TrafficMetrics.Wait.PRIMARY);
       await(request, request.deadlineNanos(), Optional.empty(), LogPosition.START);
--- a/proxy/src/test/java/org/oleanderstep/proxy/internal/traffic/TestControl.java
+++ b/proxy/src/test/java/org/oleanderstep/proxy/internal/traffic/TestControl.java
@@ -99,7 +99,7 @@
         "here",
         List.of(
             new DatabaseDefinition(
-                database.database(), members, TestGroup.SLOTS, TestGroup.CONNECTIONS / 4)));
+                database.database(), members, TestGroup.SLOTS, group.connections() / 4)));
   }
 
   void attach(TrafficPlane plane) {
--- a/proxy/src/test/java/org/oleanderstep/proxy/internal/traffic/TestGroup.java
+++ b/proxy/src/test/java/org/oleanderstep/proxy/internal/traffic/TestGroup.java
@@ -23,14 +23,26 @@
 
   static final String USER = "proxy";
   static final String PASSWORD = "secret";
-  static final int CONNECTIONS = 40;
+  private static final int CONNECTIONS = 40;
   static final int SLOTS = 16;
   private static final long WAIT_NANOS = 10_000_000_000L;
 
   private final Map<String, Member> members = new LinkedHashMap<>();
   private final Map<String, String> relays = new ConcurrentHashMap<>();
 
+  private final int connections;
+
   TestGroup(Path directory) {
+    this(directory, CONNECTIONS);
+  }
+
+  /**
+   * Starts the members.
+   *
+   * @param connections connections that each member accepts
+   */
+  TestGroup(Path directory, int connections) {
+    this.connections = connections;
     List<String> names = List.of("a", "b", "c");
     Map<String, String> controls = new HashMap<>();
     names.forEach(name -> controls.put(name, "127.0.0.1:" + freePort()));
@@ -41,7 +53,7 @@
               .setFailureDomain(name)
               .setSqlAddress("127.0.0.1:0")
               .setControlAddress(controls.get(name))
-              .setConnections(CONNECTIONS)
+              .setConnections(connections)
               .setSlots(SLOTS)
               .setDataDirectory(directory.resolve(name).toString())
               .setInitialPrimary("a")
@@ -92,6 +104,10 @@
     relays.remove(name);
   }
 
+  int connections() {
+    return connections;
+  }
+
   Map<String, Member> members() {
     return members;
   }
