--- a/proxy/src/test/java/org/oleanderstep/proxy/internal/traffic/TestGroup.java
+++ b/proxy/src/test/java/org/oleanderstep/proxy/internal/traffic/TestGroup.java
@@ -12,6 +12,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import org.oleanderstep.schema.v1.MemberPeer;
 import org.oleanderstep.schema.v1.MemberSettings;
 import org.oleanderstep.schema.v1.Role;
@@ -22,13 +23,26 @@
 
   static final String USER = "proxy";
   static final String PASSWORD = "secret";
-  static final int CONNECTIONS = 40;
+  private static final int CONNECTIONS = 40;
   static final int SLOTS = 16;
   private static final long WAIT_NANOS = 10_000_000_000L;
 
   private final Map<String, Member> members = new LinkedHashMap<>();
+  private final Map<String, String> relays = new ConcurrentHashMap<>();
+
+  private final int connections;
 
   TestGroup(Path directory) {
+    this(directory, CONNECTIONS);
+  }
+
+  /**
+   * Starts the members.
+   *
+   * @param connections connections that each member accepts
+   */
+  TestGroup(Path directory, int connections) {
+    this.connections = connections;
     List<String> names = List.of("a", "b", "c");
     Map<String, String> controls = new HashMap<>();
     names.forEach(name -> controls.put(name, "127.0.0.1:" + freePort()));
@@ -39,7 +53,7 @@
               .setFailureDomain(name)
               .setSqlAddress("127.0.0.1:0")
               .setControlAddress(controls.get(name))
-              .setConnections(CONNECTIONS)
+              .setConnections(connections)
               .setSlots(SLOTS)
               .setDataDirectory(directory.resolve(name).toString())
               .setInitialPrimary("a")
@@ -81,13 +95,26 @@
     }
   }
 
+  /** Lets proxies that start from now on reach a member through a relay. */
+  void reachThrough(String name, LossyRelay relay) {
+    relays.put(name, relay.address());
+  }
+
+  void reachDirectly(String name) {
+    relays.remove(name);
+  }
+
+  int connections() {
+    return connections;
+  }
+
   Map<String, Member> members() {
     return members;
   }
 
   String url(String name) {
-    return "jdbc:avatica:remote:url=http://127.0.0.1:"
-        + members.get(name).sqlAddress().getPort()
+    return "jdbc:avatica:remote:url=http://"
+        + relays.getOrDefault(name, "127.0.0.1:" + members.get(name).sqlAddress().getPort())
         + ";serialization=protobuf;authentication=BASIC";
   }
 
