--- a/cli/src/main/java/org/oleanderstep/cli/Json.java
+++ b/cli/src/main/java/org/oleanderstep/cli/Json.java
@@ -34,6 +34,11 @@
     return this;
   }
 
+  Json with(String name, Struct value) {
+    fields.putFields(name, Value.newBuilder().setStructValue(value).build());
+    return this;
+  }
+
   Json with(String name, List<Json> items) {
     ListValue.Builder list = ListValue.newBuilder();
     items.forEach(item -> list.addValues(Value.newBuilder().setStructValue(item.fields)));
@@ -48,6 +53,15 @@
     return this;
   }
 
+  /** Prints declared objects as an operator would write them, without empty fields. */
+  static String printDeclared(Message message) {
+    try {
+      return JsonFormat.printer().print(message);
+    } catch (InvalidProtocolBufferException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
   static String print(Message message) {
     try {
       return JsonFormat.printer().alwaysPrintFieldsWithNoPresence().print(message);
--- a/cli/src/main/java/org/oleanderstep/cli/Main.java
+++ b/cli/src/main/java/org/oleanderstep/cli/Main.java
@@ -63,10 +63,19 @@
     CliBuilder<CliCommand> builder =
         Cli.<CliCommand>builder("oleanderstep")
             .withDescription("Database proxy with session consistency. " + EXIT_CODES)
-            .withCommand(ApplyCommand.class)
+            .withCommand(ProxyCommand.class)
             .withCommand(CheckCommand.class)
+            .withCommand(ApplyCommand.class)
             .withCommand(DiffCommand.class)
+            .withCommand(StatusCommand.class)
+            .withCommand(DrainCommand.class)
+            .withCommand(FailoverCommand.class)
             .withCommand(VersionCommand.class);
+    builder
+        .withGroup("keys")
+        .withDescription("Issues and withdraws keys of organisations.")
+        .withCommand(KeysIssueCommand.class)
+        .withCommand(KeysWithdrawCommand.class);
     return builder.build();
   }
 
--- a/cli/src/test/java/org/oleanderstep/cli/MainTest.java
+++ b/cli/src/test/java/org/oleanderstep/cli/MainTest.java
@@ -10,7 +10,19 @@
 class MainTest {
 
   @ParameterizedTest
-  @ValueSource(strings = {"apply", "check", "diff", "version"})
+  @ValueSource(
+      strings = {
+        "proxy",
+        "check",
+        "apply",
+        "diff",
+        "status",
+        "drain",
+        "failover",
+        "version",
+        "keys issue",
+        "keys withdraw"
+      })
   void should_show_an_example_in_the_help_of_each_command(String command) {
     CommandRun run = CommandRun.of((command + " --help").split(" "));
     assertThat(run.exitCode()).isEqualTo(0);
--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/settings/ProtoJsonReader.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/settings/ProtoJsonReader.java
@@ -191,7 +191,8 @@
   private static String text(Value value) {
     return switch (value.getKindCase()) {
       case STRING_VALUE -> '"' + value.getStringValue() + '"';
-      case NUMBER_VALUE -> BigDecimal.valueOf(value.getNumberValue()).toPlainString();
+      case NUMBER_VALUE ->
+          BigDecimal.valueOf(value.getNumberValue()).stripTrailingZeros().toPlainString();
       case BOOL_VALUE -> String.valueOf(value.getBoolValue());
       case STRUCT_VALUE -> "an object";
       case LIST_VALUE -> "a list";
--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/settings/ProxySettingsLoader.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/settings/ProxySettingsLoader.java
@@ -4,6 +4,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.oleanderstep.schema.v1.ProxySettings;
+import org.oleanderstep.schema.v1.TargetSettings;
+import org.oleanderstep.schema.v1.TlsSettings;
 
 /** Loads the settings of a proxy. */
 public final class ProxySettingsLoader {
@@ -21,9 +23,34 @@
     if (!faults.isEmpty()) {
       throw new SettingsException(file.toString(), faults);
     }
+    resolveFiles(file.toAbsolutePath().getParent(), builder);
     return check(file.toString(), builder.build());
   }
 
+  /** Files that the settings name are relative to the directory of the settings. */
+  private static void resolveFiles(Path directory, ProxySettings.Builder settings) {
+    if (settings.hasTarget()) {
+      TargetSettings.Builder target = settings.getTargetBuilder();
+      target.setPasswordFile(resolve(directory, target.getPasswordFile()));
+    }
+    if (settings.hasCallerTls()) {
+      resolveFiles(directory, settings.getCallerTlsBuilder());
+    }
+    if (settings.hasPeerTls()) {
+      resolveFiles(directory, settings.getPeerTlsBuilder());
+    }
+  }
+
+  private static void resolveFiles(Path directory, TlsSettings.Builder tls) {
+    tls.setCertificateFile(resolve(directory, tls.getCertificateFile()));
+    tls.setPrivateKeyFile(resolve(directory, tls.getPrivateKeyFile()));
+    tls.setTrustedCertificatesFile(resolve(directory, tls.getTrustedCertificatesFile()));
+  }
+
+  private static String resolve(Path directory, String file) {
+    return file.isEmpty() ? file : directory.resolve(file).toString();
+  }
+
   /**
    * Adds the defaults to settings and checks their values.
    *
--- /dev/null
+++ b/proxy/src/test/java/org/oleanderstep/proxy/internal/platform/PlatformClientTest.java
@@ -0,0 +1,107 @@
+package org.oleanderstep.proxy.internal.platform;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import com.google.protobuf.ByteString;
+import java.time.Duration;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletionException;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.oleanderstep.schema.v1.PlatformFaults;
+import org.oleanderstep.schema.v1.PlatformSettings;
+import org.oleanderstep.standins.platform.PlatformServer;
+
+class PlatformClientTest {
+
+  private static final ByteString ONE = ByteString.copyFromUtf8("one");
+  private static final ByteString TWO = ByteString.copyFromUtf8("two");
+
+  private PlatformServer platform;
+  private PlatformClient once;
+
+  @BeforeEach
+  void startPlatform() {
+    platform =
+        PlatformServer.start(PlatformSettings.newBuilder().setAddress("127.0.0.1:0").build());
+    once = client(RetrySettings.NONE);
+  }
+
+  @AfterEach
+  void stopPlatform() {
+    platform.close();
+  }
+
+  private PlatformClient client(RetrySettings retries) {
+    return new PlatformClient(platform.url(), Duration.ofSeconds(1), retries, "test");
+  }
+
+  private static void assertFailsWith(
+      Class<? extends PlatformException> type, org.junit.jupiter.api.function.Executable call) {
+    assertThat(assertThrows(CompletionException.class, call)).hasCauseThat().isInstanceOf(type);
+  }
+
+  @Test
+  void should_report_failures_by_type() {
+    long version = once.create("a", ONE).join();
+    assertFailsWith(PlatformException.Conflict.class, () -> once.create("a", TWO).join());
+    assertFailsWith(
+        PlatformException.Conflict.class, () -> once.replace("a", version + 1, TWO).join());
+    byte[] large = new byte[PlatformServer.MAX_VALUE_BYTES + 1];
+    assertFailsWith(
+        PlatformException.Rejected.class,
+        () -> once.replace("a", version, ByteString.copyFrom(large)).join());
+    assertThat(once.get("absent").join()).isEmpty();
+    platform.setFaults(PlatformFaults.newBuilder().setUnavailable(true).build());
+    assertFailsWith(PlatformException.Unavailable.class, () -> once.get("a").join());
+  }
+
+  @Test
+  void should_repeat_calls_without_an_answer_only_inside_the_budget() {
+    platform.setFaults(PlatformFaults.newBuilder().setUnavailable(true).build());
+    PlatformClient patient =
+        client(
+            new RetrySettings(
+                Duration.ofMillis(400), Duration.ofMillis(20), Duration.ofMillis(100)));
+    long start = System.nanoTime();
+    assertFailsWith(PlatformException.Unavailable.class, () -> patient.get("a").join());
+    assertThat(System.nanoTime() - start).isAtLeast(400_000_000L);
+    assertThat(platform.stats().getReads()).isAtLeast(3);
+    assertThat(platform.stats().getReads()).isAtMost(30);
+  }
+
+  @Test
+  void should_find_out_that_an_update_without_an_answer_took_effect() {
+    long version = once.create("a", ONE).join();
+    platform.setFaults(PlatformFaults.newBuilder().setLoseAnswers(1).build());
+    new ConditionalPublisher(once).publish("a", OptionalLong.of(version), TWO, TWO::equals).join();
+    assertThat(once.get("a").join().orElseThrow().value()).isEqualTo(TWO);
+    assertThat(platform.stats().getUpdates()).isEqualTo(2);
+  }
+
+  // A repetition meets the version that its own first attempt made.
+  @Test
+  void should_not_report_a_conflict_with_its_own_earlier_attempt() {
+    long version = once.create("a", ONE).join();
+    platform.setFaults(PlatformFaults.newBuilder().setLoseAnswers(1).build());
+    long published =
+        new ConditionalPublisher(client(RetrySettings.INTERACTIVE))
+            .publish("a", OptionalLong.of(version), TWO, TWO::equals)
+            .join();
+    assertThat(published).isGreaterThan(version);
+  }
+
+  @Test
+  void should_report_a_conflict_with_another_update() {
+    long version = once.create("a", ONE).join();
+    once.replace("a", version, ByteString.copyFromUtf8("other")).join();
+    assertFailsWith(
+        PlatformException.Conflict.class,
+        () ->
+            new ConditionalPublisher(once)
+                .publish("a", OptionalLong.of(version), TWO, TWO::equals)
+                .join());
+  }
+}
