--- a/cli/src/main/java/org/oleanderstep/cli/ProxyCommand.java
+++ b/cli/src/main/java/org/oleanderstep/cli/ProxyCommand.java
@@ -5,6 +5,7 @@
 import com.github.rvesse.airline.annotations.help.Examples;
 import com.github.rvesse.airline.annotations.restrictions.Required;
 import java.nio.file.Path;
+import org.apache.logging.log4j.LogManager;
 import org.oleanderstep.proxy.ProxyServer;
 
 /** Runs a proxy until it is stopped. */
@@ -29,6 +30,7 @@
                 () -> {
                   proxy.drain().join();
                   proxy.awaitStopped();
+                  LogManager.shutdown();
                 },
                 "proxy-drain"));
     proxy.awaitStopped();
--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/control/ControlThread.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/control/ControlThread.java
@@ -19,7 +19,6 @@
 import org.oleanderstep.core.failover.MemberStatus;
 import org.oleanderstep.core.failover.PrimaryView;
 import org.oleanderstep.core.membership.PeerIdentity;
-import org.oleanderstep.core.membership.PeerState;
 import org.oleanderstep.core.membership.PeerTable;
 import org.oleanderstep.core.membership.RendezvousHash;
 import org.oleanderstep.core.membership.SelfState;
@@ -223,6 +222,7 @@
     if (shares.hasWaiting()) {
       shares.tick();
     }
+    updateTrust(loop.nanoTime());
     publish();
   }
 
@@ -236,7 +236,6 @@
     lastDecisionAt = now;
     groups.tick();
     watcher.tick(WatcherElection.isWatcher(peers, now));
-    updateTrust(now);
     if (configuration.isBehind(seenGeneration)) {
       catchUp(now);
     }
@@ -250,6 +249,10 @@
 
   private void maintain() {
     watcher.poll();
+    maintainShares();
+  }
+
+  private void maintainShares() {
     if (watcher.isElected()) {
       shares.maintain(VmListConverter.toCore(gossip.vmList()));
     }
@@ -343,6 +346,7 @@
       logger.info("the platform lists this VM as leaving");
       drain(settings.drainTime());
     }
+    maintainShares();
   }
 
   private void drain(Duration drainTime) {
@@ -505,11 +509,6 @@
     return status.build();
   }
 
-  /** Returns the live peers; call it on the thread. */
-  java.util.List<PeerState> livePeers() {
-    return peers.live(loop.nanoTime());
-  }
-
   @Override
   public void close() {
     loop.close();
--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/control/PlatformWatcher.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/control/PlatformWatcher.java
@@ -30,7 +30,7 @@
    */
   private static final Duration CONFIGURATION_WAIT = Duration.ofSeconds(1);
 
-  private static final Duration SHARES_WAIT = Duration.ofSeconds(10);
+  private static final Duration SHARES_WAIT = Duration.ofSeconds(2);
   private static final Duration MAX_BACKOFF = Duration.ofSeconds(1);
   private static final Duration FIRST_BACKOFF = Duration.ofMillis(100);
   private static final String INTENTS = "intent/";
--- a/proxy/src/test/java/org/oleanderstep/proxy/Fleet.java
+++ b/proxy/src/test/java/org/oleanderstep/proxy/Fleet.java
@@ -31,6 +31,7 @@
 import org.oleanderstep.schema.v1.Route;
 import org.oleanderstep.schema.v1.Service;
 import org.oleanderstep.schema.v1.TargetSettings;
+import org.oleanderstep.schema.v1.TlsSettings;
 import org.oleanderstep.schema.v1.Vm;
 import org.oleanderstep.schema.v1.VmKind;
 import org.oleanderstep.standins.platform.PlatformServer;
@@ -45,6 +46,8 @@
   final Map<String, ProxyServer> proxies = new LinkedHashMap<>();
   private final HttpClient http = HttpClient.newHttpClient();
   private final Path passwordFile;
+  private int domains = DOMAINS.length;
+  private TlsSettings peerTls = TlsSettings.getDefaultInstance();
 
   Fleet(Path directory) throws IOException {
     passwordFile = Files.writeString(directory.resolve("password"), "secret");
@@ -90,13 +93,23 @@
                 .setUrl(platform.url().toString())
                 .setTimeout(Durations.fromMillis(500)))
         .addAllSeedPeers(seeds)
+        .setPeerTls(peerTls)
         .setTarget(
             TargetSettings.newBuilder().setUser("proxy").setPasswordFile(passwordFile.toString()))
         .build();
   }
 
-  private static String domain(int number) {
-    return DOMAINS[number % DOMAINS.length];
+  private String domain(int number) {
+    return DOMAINS[number % domains];
+  }
+
+  /** Puts all proxies into one failure domain, where only two of them watch the platform. */
+  void useSingleDomain() {
+    domains = 1;
+  }
+
+  void usePeerTls(TlsSettings tls) {
+    peerTls = tls;
   }
 
   /** Returns a valid set with the given keys of one organisation. */
--- a/proxy/src/test/java/org/oleanderstep/proxy/ProxyFleetTest.java
+++ b/proxy/src/test/java/org/oleanderstep/proxy/ProxyFleetTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.oleanderstep.schema.v1.PlatformFaults;
+import org.oleanderstep.schema.v1.TlsSettings;
 
 @Timeout(value = 30, unit = TimeUnit.SECONDS)
 class ProxyFleetTest {
@@ -60,6 +61,24 @@
       }
     }
 
+    // The load of the platform must not grow with the fleet.
+    @Test
+    void should_reach_proxies_that_do_not_watch_the_platform() throws Exception {
+      fleet.useSingleDomain();
+      startReady(5);
+      Fleet.await(
+          "two watchers",
+          Duration.ofSeconds(8),
+          () -> fleet.platform.stats().getWaitingWatches() <= 4);
+      for (int generation = 2; generation <= 4; generation++) {
+        fleet.publish(fleet.declarations(Fleet.key("k" + generation, false)));
+        long expected = generation;
+        Duration taken = Fleet.await("gossip", IN_FORCE_AIM, () -> fleet.allAtGeneration(expected));
+        System.out.println("generation " + generation + " by gossip after " + taken);
+      }
+      assertThat(fleet.platform.stats().getWaitingWatches()).isAtMost(4);
+    }
+
     // A proxy that only its peers can reach must not keep serving with an old set.
     @Test
     void should_reach_a_proxy_that_is_cut_off_from_the_platform() {
@@ -104,6 +123,41 @@
     }
   }
 
+  @Nested
+  class PeerTls {
+
+    private TlsSettings tls(String name) {
+      return TlsSettings.newBuilder()
+          .setEnabled(true)
+          .setCertificateFile(resource(name + ".crt"))
+          .setPrivateKeyFile(resource(name + ".key"))
+          .setTrustedCertificatesFile(resource("peer.crt"))
+          .build();
+    }
+
+    private String resource(String name) {
+      return Path.of("src/test/resources/tls", name).toString();
+    }
+
+    @Test
+    void should_gossip_over_tls_but_not_with_a_stranger() {
+      fleet.useSingleDomain();
+      fleet.usePeerTls(tls("peer"));
+      startReady(3);
+      fleet.platform.setFaults(PlatformFaults.newBuilder().addUnavailableTo("vm-1").build());
+      fleet.publish(fleet.declarations(Fleet.key("k2", false)));
+      Fleet.await("generation 2", IN_FORCE_AIM, () -> fleet.allAtGeneration(2));
+
+      fleet.platform.setFaults(unavailable());
+      fleet.usePeerTls(tls("stranger"));
+      ProxyServer stranger = fleet.startProxy(4);
+      long end = System.nanoTime() + Duration.ofSeconds(2).toNanos();
+      while (System.nanoTime() - end < 0) {
+        assertThat(stranger.configurationGeneration()).isEqualTo(0);
+      }
+    }
+  }
+
   @Nested
   class Start {
 
