--- a/proxy/src/main/java/org/oleanderstep/proxy/ProxyServer.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/ProxyServer.java
@@ -41,6 +41,7 @@
 import org.oleanderstep.proxy.internal.settings.HostPort;
 import org.oleanderstep.proxy.internal.settings.ProxySettingsLoader;
 import org.oleanderstep.proxy.internal.target.TargetAccount;
+import org.oleanderstep.proxy.internal.traffic.ControlPlane;
 import org.oleanderstep.proxy.internal.traffic.ControlSnapshot;
 import org.oleanderstep.proxy.internal.traffic.TrafficServer;
 import org.oleanderstep.proxy.internal.traffic.TrafficSettings;
@@ -248,6 +249,11 @@
     return control.snapshot().configuration().map(c -> c.generation()).orElse(0L);
   }
 
+  /** Returns the control side, for tests. */
+  ControlPlane control() {
+    return control;
+  }
+
   /** Drains with the drain time of the settings. */
   public CompletableFuture<Void> drain() {
     return drain(DurationConverter.toCore(settings.getDrainTime()));
--- a/proxy/src/test/java/org/oleanderstep/proxy/ProxyFleetTest.java
+++ b/proxy/src/test/java/org/oleanderstep/proxy/ProxyFleetTest.java
@@ -1,10 +1,14 @@
 package org.oleanderstep.proxy;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -12,6 +16,11 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import org.oleanderstep.core.model.DatabaseId;
+import org.oleanderstep.core.model.OrganisationId;
+import org.oleanderstep.core.position.LogPosition;
+import org.oleanderstep.proxy.internal.traffic.Admission;
+import org.oleanderstep.proxy.internal.traffic.ControlPlane;
 import org.oleanderstep.schema.v1.PlatformFaults;
 import org.oleanderstep.schema.v1.TlsSettings;
 
@@ -213,8 +222,7 @@
       String taken = fleet.proxies.get("vm-1").peerAddress();
       ProxyServer second =
           ProxyServer.from(fleet.settings(2, List.of()).toBuilder().setPeerAddress(taken).build());
-      RuntimeException failure =
-          org.junit.jupiter.api.Assertions.assertThrows(RuntimeException.class, second::start);
+      RuntimeException failure = assertThrows(RuntimeException.class, second::start);
       assertThat(failure).hasMessageThat().contains("peerAddress " + taken);
     }
   }
@@ -263,6 +271,66 @@
     }
   }
 
+  @Nested
+  class Admissions {
+
+    // Each proxy alone would let the whole burst through.
+    @Test
+    void should_not_admit_more_than_rate_and_burst_over_all_proxies() {
+      startReady(3);
+      OrganisationId organisation = new OrganisationId("org");
+      long start = System.nanoTime();
+      int admitted = 0;
+      for (int round = 0; round < 20; round++) {
+        List<CompletableFuture<Admission>> asked = new ArrayList<>();
+        for (ProxyServer proxy : fleet.proxies.values()) {
+          for (int i = 0; i < 30; i++) {
+            long deadline = System.nanoTime() + Duration.ofMillis(200).toNanos();
+            asked.add(proxy.control().admit(organisation, deadline));
+          }
+        }
+        for (CompletableFuture<Admission> admission : asked) {
+          admitted += admission.join() instanceof Admission.Admitted ? 1 : 0;
+        }
+      }
+      double seconds = (System.nanoTime() - start) / 1e9;
+      // The buckets may be full at the start: burst 100, rate 100 per second.
+      assertThat((double) admitted).isAtMost(100 + 100 * seconds);
+      assertThat(admitted).isGreaterThan(0);
+    }
+  }
+
+  @Nested
+  class FreshPositions {
+
+    // A position cached before the call may lack a write that another proxy acknowledged.
+    @Test
+    void should_ask_the_primary_after_the_call() throws Exception {
+      startReady(1);
+      ControlPlane control = fleet.proxies.get("vm-1").control();
+      DatabaseId database = new DatabaseId("s", "d");
+      Fleet.await(
+          "primary",
+          IN_FORCE_AIM,
+          () -> control.snapshot().groups().get(database).primary().isPresent());
+      for (int index = 100; index < 150; index++) {
+        fleet.members.get(0).setApplied(index);
+        LogPosition position = control.freshPrimaryPosition(database).get(3, TimeUnit.SECONDS);
+        assertThat(position).isEqualTo(new LogPosition(1, index));
+      }
+    }
+
+    @Test
+    void should_fail_when_no_primary_answers() {
+      startReady(1);
+      fleet.members.get(0).close();
+      ControlPlane control = fleet.proxies.get("vm-1").control();
+      assertThrows(
+          ExecutionException.class,
+          () -> control.freshPrimaryPosition(new DatabaseId("s", "d")).get(10, TimeUnit.SECONDS));
+    }
+  }
+
   @Nested
   class Drain {
 
