--- a/standins/src/main/java/org/oleanderstep/standins/member/internal/MemberRuntime.java
+++ b/standins/src/main/java/org/oleanderstep/standins/member/internal/MemberRuntime.java
@@ -206,7 +206,10 @@
     return state.status();
   }
 
-  /** Stops all parts. */
+  /**
+   * Stops all parts. No thread is interrupted, since that would close a file of the log that it is
+   * writing; closing the state and the channels ends what the threads wait for.
+   */
   @Override
   public void close() {
     state.close();
@@ -215,7 +218,6 @@
       controlServer.shutdownNow();
     }
     channels.forEach(ManagedChannel::shutdownNow);
-    threads.forEach(Thread::interrupt);
     workers.shutdown();
     try {
       for (Thread thread : threads) {
