--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/target/TargetConnection.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/target/TargetConnection.java
@@ -16,7 +16,6 @@
 import org.oleanderstep.client.TargetCall;
 import org.oleanderstep.client.TargetHttpClient;
 import org.oleanderstep.core.model.MemberId;
-import org.oleanderstep.core.position.LogPosition;
 
 /**
  * A JDBC connection to one incarnation of a member, used by one request or transaction at a time.
@@ -40,7 +39,6 @@
   private Statement plain;
   private volatile TargetCall call;
   private volatile boolean broken;
-  private LogPosition lastPosition = LogPosition.START;
 
   private TargetConnection(MemberId member, String incarnation, Connection jdbc)
       throws SQLException {
@@ -107,13 +105,15 @@
     return broken || (last != null && last.isLost());
   }
 
-  /** Returns the log position of the member's last answer. */
-  public Optional<LogPosition> position() {
+  /** Returns the log position of the member's last answer to the present request. */
+  public Optional<GroupPosition> position() {
     TargetCall last = call;
-    if (last != null) {
-      last.position().map(LogPosition::parse).ifPresent(seen -> lastPosition = seen);
-    }
-    return lastPosition.equals(LogPosition.START) ? Optional.empty() : Optional.of(lastPosition);
+    return last == null ? Optional.empty() : last.position().flatMap(GroupPosition::parse);
+  }
+
+  /** Returns the settings that the connection has. */
+  public ConnectionState state() {
+    return state;
   }
 
   /** Changes the settings that differ from the wanted ones. */
@@ -199,10 +199,6 @@
       if (!state.autoCommit()) {
         jdbc.rollback();
       }
-      if (plain != null && plain.getResultSet() != null) {
-        plain.close();
-        plain = null;
-      }
       apply(ConnectionState.RESET);
       return !isLost();
     } catch (SQLException | RuntimeException e) {
--- a/standins/src/main/java/org/oleanderstep/standins/platform/PlatformServer.java
+++ b/standins/src/main/java/org/oleanderstep/standins/platform/PlatformServer.java
@@ -18,8 +18,10 @@
 import java.net.URI;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.time.InstantSource;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.oleanderstep.schema.v1.PlatformFaults;
 import org.oleanderstep.schema.v1.PlatformSettings;
 import org.oleanderstep.schema.v1.PlatformStats;
@@ -46,6 +48,7 @@
   private final EventLoopGroup threads;
   private final ChannelGroup connections;
   private final Channel listener;
+  private final AtomicBoolean closed = new AtomicBoolean();
 
   private PlatformServer(
       PlatformState state, EventLoopGroup threads, ChannelGroup connections, Channel listener) {
@@ -62,7 +65,7 @@
             ? Optional.empty()
             : Optional.of(new ObjectFiles(Path.of(settings.getDataDirectory())));
     Duration lag = Duration.ofMillis(Durations.toMillis(settings.getVmListLag()));
-    VmRegistry vms = new VmRegistry(lag, System::nanoTime);
+    VmRegistry vms = new VmRegistry(lag, System::nanoTime, InstantSource.system().millis());
     vms.start(settings.getVmsList());
     PlatformState state = new PlatformState(new ObjectStore(files), vms);
     EventLoopGroup threads = new MultiThreadIoEventLoopGroup(THREADS, NioIoHandler.newFactory());
@@ -118,6 +121,9 @@
 
   @Override
   public void close() {
+    if (closed.getAndSet(true)) {
+      return;
+    }
     listener.close().syncUninterruptibly();
     connections.close().awaitUninterruptibly(STOP_SECONDS, TimeUnit.SECONDS);
     threads
