--- a/client/src/main/java/org/oleanderstep/client/OleanderstepHttpClient.java
+++ b/client/src/main/java/org/oleanderstep/client/OleanderstepHttpClient.java
@@ -34,16 +34,23 @@
  * as {@code host:port}, {@code timeoutMs} limits each call, and {@code requestIds=always} gives a
  * random request id to each call that may write.
  *
- * <p>A call is sent again, to the next proxy, only if no byte of it was sent, if it is a read
- * outside a transaction, or if it carries a request id. Otherwise a call without an answer fails
- * with SQLSTATE 08007 when it may have changed data, 40001 when its transaction is lost with the
- * proxy, and 08006 for other reads. A call that was not sent at all fails with 08001.
+ * <p>The driver sends a change of the commit mode only when it creates or prepares a statement.
+ * Call {@code connection.getAutoCommit()} after {@code setAutoCommit(false)} if the transaction
+ * uses statements that were prepared before; it makes the driver send the mode. Without it the
+ * proxy refuses the commit with SQLSTATE 25P01.
+ *
+ * <p>A call is sent again, to the next proxy, only if no byte of it was sent, if the proxy is
+ * stopping and has not run it, if it is a read outside a transaction, or if it carries a request
+ * id. Otherwise a call without an answer fails with SQLSTATE 08007 when it may have changed data,
+ * 40001 when its transaction is lost with the proxy, and 08006 for other reads. A call that was not
+ * sent at all fails with 08001.
  */
 // The driver hands the truststore over through this interface only, although it is deprecated.
 @SuppressWarnings("deprecation")
 public final class OleanderstepHttpClient
     implements AvaticaHttpClient, UsernamePasswordAuthenticateable, TrustStoreConfigurable {
 
+  private static final int MAX_STATEMENT_HEADER = 16 << 10;
   private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
   // The proxy answers at the deadline; its answer needs some time on the way.
   private static final Duration ANSWER_GRACE = Duration.ofSeconds(1);
@@ -58,6 +65,7 @@
   private int current;
   private String session;
   private boolean unknownWrite;
+  private boolean transactionStarted;
   private boolean transactionLost;
 
   /** Creates the client of one JDBC connection; called by the driver. */
@@ -98,6 +106,10 @@
       boolean repeatable = kind == CallKind.REPEATABLE || requestId.isPresent();
       return call(request, kind, requestId, repeatable);
     } finally {
+      if (line != null && CallInspector.closesConnection(request)) {
+        line.close();
+        line = null;
+      }
       lock.unlock();
     }
   }
@@ -147,7 +159,12 @@
       try {
         Answer answer =
             line().call(uri, headers(requestId, remaining), request, answerTimeout(remaining));
-        return accept(answer);
+        boolean last = attempt == proxies.uris().size() - 1;
+        if (!last && !transactionStarted && answer.isStopping()) {
+          nextProxy();
+          continue;
+        }
+        return accept(runMissingStatement(uri, answer, request, requestId, deadline), kind);
       } catch (NotSentException e) {
         nextProxy();
       } catch (IOException e) {
@@ -164,11 +181,36 @@
     return sent ? lostAnswer(kind) : notSent(kind);
   }
 
+  /** Brings the text of a statement to a proxy that does not know it and so has not run it. */
+  private Answer runMissingStatement(
+      URI uri, Answer answer, byte[] request, Optional<String> requestId, long deadline)
+      throws IOException {
+    Optional<String> text =
+        inspector
+            .textOfMissingStatement(answer.body())
+            .filter(OleanderstepHttpClient::fitsIntoHeader);
+    long remaining = deadline - System.nanoTime();
+    if (text.isEmpty() || remaining <= 0) {
+      return answer;
+    }
+    Map<String, String> headers = headers(requestId, remaining);
+    headers.put(
+        Headers.STATEMENT,
+        Base64.getUrlEncoder()
+            .withoutPadding()
+            .encodeToString(text.get().getBytes(StandardCharsets.UTF_8)));
+    return line().call(uri, headers, request, answerTimeout(remaining));
+  }
+
+  private static boolean fitsIntoHeader(String text) {
+    return text.length() <= MAX_STATEMENT_HEADER;
+  }
+
   private static Duration answerTimeout(long remainingNanos) {
     return Duration.ofNanos(remainingNanos).plus(ANSWER_GRACE);
   }
 
-  private byte[] accept(Answer answer) throws IOException {
+  private byte[] accept(Answer answer, CallKind kind) throws IOException {
     if (!answer.isAvatica()) {
       throw new IOException("the proxy answered with HTTP status " + answer.status());
     }
@@ -179,6 +221,11 @@
               session = token;
               unknownWrite = false;
             });
+    if (kind == CallKind.IN_TRANSACTION && answer.status() == 200) {
+      transactionStarted = true;
+    } else if (kind == CallKind.COMMIT || kind == CallKind.ROLLBACK) {
+      transactionStarted = false;
+    }
     inspector.onAnswer(answer.body());
     return answer.body();
   }
--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/CallService.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/CallService.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
@@ -103,7 +104,7 @@
   private CallerAnswer served(Service.Response answer, CallContext call, long start) {
     inFlight.decrementAndGet();
     context.metrics().ended(new Outcome.Served(), Duration.ofNanos(System.nanoTime() - start));
-    return new CallerAnswer(encode(answer), false, token(call));
+    return new CallerAnswer(encode(answer), false, false, token(call), isInTransaction(call));
   }
 
   private CallerAnswer failed(Outcome outcome, CallContext call, long start) {
@@ -112,7 +113,13 @@
     return new CallerAnswer(
         encode(ErrorAnswers.of(outcome, serverName)),
         true,
-        call == null ? Optional.empty() : token(call));
+        outcome instanceof Outcome.NotRun notRun && notRun.reason() == NotRunReason.KEY_REFUSED,
+        call == null ? Optional.empty() : token(call),
+        call != null && isInTransaction(call));
+  }
+
+  private static boolean isInTransaction(CallContext call) {
+    return call.session().transaction().isPresent() && !call.isTransactionElsewhere();
   }
 
   private static byte[] encode(Service.Response answer) {
@@ -177,6 +184,10 @@
           : connections.closeLater(open.get()).thenApply(none -> answer);
     }
     CallerConnection connection = connections.get(id, call);
+    if (call.call().properties().isPresent()) {
+      // This client uses one network connection for one JDBC connection.
+      call.call().usedConnections().add(id);
+    }
     return connection.inOrder(() -> onConnection(call, connection, request), context.workers());
   }
 
@@ -191,30 +202,44 @@
         throw OutcomeException.notRun(
             NotRunReason.TRANSACTION_LOST, "the connection was closed meanwhile");
       }
-      noteForeignTransaction(call, connection);
-      return run(call, connection, request);
+      CompletableFuture<Void> adopted = adoptSession(call, connection, request);
+      return adopted.isDone()
+          ? run(call, connection, request)
+          : adopted.thenCompose(none -> run(call, connection, request));
     } catch (CallerConnection.TooManyStatementsException e) {
       throw OutcomeException.notRun(NotRunReason.BAD_REQUEST, e.getMessage());
     }
   }
 
-  /** A transaction of the token that is not open here has ended, or will never be committed. */
-  private static void noteForeignTransaction(CallContext call, CallerConnection connection) {
+  /** Takes over what the session did at other proxies since its last call here. */
+  private CompletableFuture<Void> adoptSession(
+      CallContext call, CallerConnection connection, Service.Request request) {
     Optional<TransactionToken> claimed = call.session().transaction();
-    if (claimed.isEmpty()) {
-      return;
+    Optional<CallerConnection.Transaction> open = connection.transaction();
+    boolean same =
+        open.isPresent()
+            && claimed.filter(token -> isOpenHere(call, token, open.get())).isPresent();
+    if (claimed.isPresent() && !same) {
+      call.setTransactionElsewhere();
     }
-    ControlSnapshot snapshot = call.snapshot();
-    boolean open =
-        claimed.get().vm().equals(snapshot.vm())
-            && claimed.get().instance().equals(snapshot.instance())
-            && connection
-                .transaction()
-                .filter(held -> held.number() == claimed.get().number())
-                .isPresent();
-    if (!open && connection.transaction().isEmpty()) {
-      connection.setTransactionLost(true);
+    // A synchronisation compares the old properties with the new ones itself.
+    if (!same && !(request instanceof Service.ConnectionSyncRequest)) {
+      call.call()
+          .properties()
+          .ifPresent(sent -> connection.setProperties(CallerConnection.fromProto(sent)));
     }
+    if (open.isPresent() && !same && call.call().sessionToken().isPresent()) {
+      // The caller never got the answer that began this transaction.
+      return CompletableFuture.runAsync(connection::dropTransaction, context.workers());
+    }
+    return CompletableFuture.completedFuture(null);
+  }
+
+  private static boolean isOpenHere(
+      CallContext call, TransactionToken token, CallerConnection.Transaction open) {
+    return token.vm().equals(call.snapshot().vm())
+        && token.instance().equals(call.snapshot().instance())
+        && token.number() == open.number();
   }
 
   private CompletableFuture<Service.Response> run(
@@ -235,6 +260,9 @@
     if (request instanceof Service.FetchRequest fetch) {
       return fetch(call, connection, fetch);
     }
+    if (request instanceof Service.CommitRequest || request instanceof Service.RollbackRequest) {
+      checkTransactionMode(call, connection);
+    }
     if (request instanceof Service.CommitRequest) {
       return execution.commit(call, connection, Answers.COMMITTED);
     }
@@ -244,6 +272,10 @@
     if (request instanceof Service.SyncResultsRequest) {
       throw cursorGone();
     }
+    Optional<Service.Response> missing = missingStatement(call, connection, request);
+    if (missing.isPresent()) {
+      return completed(missing.get());
+    }
     Optional<StatementRun> statement = statement(connection, request);
     if (statement.isPresent()) {
       return afterClosingCursor(
@@ -252,6 +284,25 @@
     return metadataCalls.answer(call, connection, request);
   }
 
+  /**
+   * The driver sends a change of the commit mode only when a statement is created or prepared.
+   * Statements that were prepared before have then run in auto-commit mode, which must not pass for
+   * a transaction.
+   */
+  private static void checkTransactionMode(CallContext call, CallerConnection connection) {
+    if (connection.properties().autoCommit()
+        && connection.transaction().isEmpty()
+        && !connection.isTransactionLost()
+        && !call.isTransactionElsewhere()) {
+      throw new OutcomeException(
+          new Outcome.Failed(
+              "25P01",
+              -1,
+              "the connection is in auto-commit mode, so each statement has committed by itself;"
+                  + " call getAutoCommit() after setAutoCommit(false) to make the driver send it"));
+    }
+  }
+
   /** The last result of a statement ends when the statement runs again. */
   private CompletableFuture<Service.Response> afterClosingCursor(
       StatementRun run, Supplier<CompletableFuture<Service.Response>> next) {
@@ -274,15 +325,13 @@
       return Optional.of(
           builder(connection, id)
               .rows(-1, frameRows(prepared.maxRowCount))
-              .prepared(
-                  preparedText(connection, id, prepared.statementHandle.signature),
-                  prepared.parameterValues));
+              .prepared(connection.statement(id).sql(), prepared.parameterValues));
     }
     if (request instanceof Service.PrepareAndExecuteBatchRequest batch) {
       return Optional.of(builder(connection, batch.statementId).plainBatch(batch.sqlCommands));
     }
     if (request instanceof Service.ExecuteBatchRequest batch) {
-      String sql = preparedText(connection, batch.statementId, null);
+      String sql = connection.statement(batch.statementId).sql();
       List<List<TypedValue>> rows =
           batch.hasProtoUpdateBatches()
               ? StatementRun.rows(batch.getProtoUpdateBatches())
@@ -302,19 +351,33 @@
     return wanted <= 0 ? Math.min(most, 100) : Math.min(wanted, most);
   }
 
-  /** Returns the text of a prepared statement, also of one that was prepared at another proxy. */
-  private static String preparedText(
-      CallerConnection connection, int statementId, Meta.Signature sent) {
-    CallerStatement statement = connection.statement(statementId);
-    String sentText = sent == null || sent.sql == null ? "" : sent.sql;
-    if (statement.sql().isEmpty() || !(sentText.isEmpty() || sentText.equals(statement.sql()))) {
-      statement.setSql(sentText);
+  /**
+   * Answers the execution of a statement that was prepared at another proxy, unless the call brings
+   * its text; our client then sends the call again with the text.
+   */
+  private Optional<Service.Response> missingStatement(
+      CallContext call, CallerConnection connection, Service.Request request) {
+    Optional<String> text = call.call().statementText();
+    if (request instanceof Service.ExecuteRequest execute) {
+      int id = execute.statementHandle.id;
+      text.ifPresent(sent -> connection.statement(id).setSql(sent));
+      return isPrepared(connection, id)
+          ? Optional.empty()
+          : Optional.of(new Service.ExecuteResponse(List.of(), true, metadata));
     }
-    if (statement.sql().isEmpty()) {
-      throw new OutcomeException(
-          new Outcome.Failed("26000", -1, "the statement is not prepared here; prepare it again"));
+    if (request instanceof Service.ExecuteBatchRequest batch) {
+      text.ifPresent(sent -> connection.statement(batch.statementId).setSql(sent));
+      return isPrepared(connection, batch.statementId)
+          ? Optional.empty()
+          : Optional.of(
+              new Service.ExecuteBatchResponse(
+                  batch.connectionId, batch.statementId, new long[0], true, metadata));
     }
-    return statement.sql();
+    return Optional.empty();
+  }
+
+  private static boolean isPrepared(CallerConnection connection, int statementId) {
+    return connection.find(statementId).filter(found -> !found.sql().isEmpty()).isPresent();
   }
 
   private CompletableFuture<Service.Response> closeStatement(
@@ -336,7 +399,8 @@
       CallContext call, CallerConnection connection, Service.ConnectionSyncRequest request) {
     ConnectionState before = connection.properties();
     ConnectionState after = merge(before, request.connProps);
-    if (!before.autoCommit() && after.autoCommit()) {
+    boolean inTransaction = !before.autoCommit() || call.isTransactionElsewhere();
+    if (inTransaction && after.autoCommit()) {
       // JDBC commits the open transaction when auto-commit is turned on.
       return execution
           .commit(call, connection, Answers.COMMITTED)
@@ -454,6 +518,11 @@
     snapshot.configuration().ifPresent(connections::onConfiguration);
   }
 
+  /** Rolls back the transactions of callers whose network connection is closed. */
+  void onCallerGone(Set<CallerConnection.Id> used) {
+    used.forEach(connections::dropTransaction);
+  }
+
   /** Closes connections that nobody uses any more; called about once a second. */
   public void sweep() {
     connections.sweep(System.nanoTime());
--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/CallerHandler.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/CallerHandler.java
@@ -25,6 +25,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Queue;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.BooleanSupplier;
 import java.util.regex.Pattern;
 import org.apache.calcite.avatica.proto.Common;
@@ -52,6 +54,7 @@
   private final CallService service;
   private final BooleanSupplier draining;
   private final Queue<Pending> waiting = new ArrayDeque<>();
+  private final Set<CallerConnection.Id> usedConnections = ConcurrentHashMap.newKeySet();
   private boolean busy;
 
   /** A call that was read and waits for the answer to the one before. */
@@ -111,7 +114,10 @@
         requestId(headers.get(Headers.REQUEST_ID)),
         System.nanoTime() + deadline(headers.get(Headers.DEADLINE_MS)).toNanos(),
         properties(headers.get(Headers.CONNECTION)),
-        gone);
+        Optional.ofNullable(headers.get(Headers.STATEMENT))
+            .map(text -> new String(decode(text), StandardCharsets.UTF_8)),
+        gone,
+        usedConnections);
   }
 
   private static DatabaseId database(String uri) {
@@ -197,23 +203,23 @@
     busy = true;
     Pending next = waiting.remove();
     var unused =
-        service
-            .serve(next.call, next.body)
-            .thenAccept(answer -> answer(context, answer, next.keepAlive));
+        service.serve(next.call, next.body).thenAccept(answer -> answer(context, answer, next));
   }
 
   /** Writes an answer; on any thread. */
-  private void answer(ChannelHandlerContext context, CallerAnswer answer, boolean keepAlive) {
-    boolean close = !keepAlive || draining.getAsBoolean();
+  private void answer(ChannelHandlerContext context, CallerAnswer answer, Pending pending) {
+    // A transaction ends with its network connection, so that one stays open while it drains.
+    boolean close = !pending.keepAlive || (draining.getAsBoolean() && !answer.inTransaction());
     FullHttpResponse response =
         new DefaultFullHttpResponse(
-            HttpVersion.HTTP_1_1,
-            answer.failed() ? HttpResponseStatus.INTERNAL_SERVER_ERROR : HttpResponseStatus.OK,
-            Unpooled.wrappedBuffer(answer.body()));
+            HttpVersion.HTTP_1_1, status(answer, pending), Unpooled.wrappedBuffer(answer.body()));
     HttpHeaders headers = response.headers();
     headers.set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_OCTET_STREAM);
     headers.setInt(HttpHeaderNames.CONTENT_LENGTH, answer.body().length);
     answer.sessionToken().ifPresent(token -> headers.set(Headers.SESSION, token));
+    if (response.status().equals(HttpResponseStatus.UNAUTHORIZED)) {
+      headers.set(HttpHeaderNames.WWW_AUTHENTICATE, "Basic realm=\"oleanderstep\"");
+    }
     if (close) {
       headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
     }
@@ -224,6 +230,16 @@
     }
   }
 
+  /** The stock client of the driver sends its key only after it was asked for it. */
+  private static HttpResponseStatus status(CallerAnswer answer, Pending pending) {
+    if (!answer.failed()) {
+      return HttpResponseStatus.OK;
+    }
+    return answer.keyRefused() && pending.call.credentials().isEmpty()
+        ? HttpResponseStatus.UNAUTHORIZED
+        : HttpResponseStatus.INTERNAL_SERVER_ERROR;
+  }
+
   private void write(ChannelHandlerContext context, FullHttpResponse response, boolean close) {
     busy = false;
     var written = context.writeAndFlush(response);
@@ -248,6 +264,12 @@
     context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
   }
 
+  @Override
+  public void channelInactive(ChannelHandlerContext context) {
+    waiting.clear();
+    service.onCallerGone(usedConnections);
+  }
+
   @Override
   public void userEventTriggered(ChannelHandlerContext context, Object event) {
     if (event instanceof IdleStateEvent && !busy) {
