--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/control/ShareKeeper.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/control/ShareKeeper.java
@@ -320,7 +320,7 @@
             stored.isEmpty()
                 ? Optional.of(ShareTablePlanner.first(list, newId()))
                 : ShareTablePlanner.next(stored.get(), list, newId()),
-        "slots of VMs that the platform does not list any more");
+        held.isEmpty() ? "first table" : "slots of VMs that the platform does not list any more");
   }
 
   /** Hands one slot to a VM that holds fewer. */
