Name the cause of a refusal by a target, and repeat the load's preparation

A target that refuses a statement says why; callers saw only that it did. The first statements after a start are refused because token buckets start empty.

--- a/load/src/main/java/org/oleanderstep/load/workload/SqlResults.java
+++ b/load/src/main/java/org/oleanderstep/load/workload/SqlResults.java
@@ -22,7 +22,16 @@
     String state = stateOf(error);
     operation.setResult(of(state));
     operation.setSqlState(state);
-    operation.setDetail(String.valueOf(error.getMessage()));
+    operation.setDetail(messages(error));
+  }
+
+  // The driver puts the text of the proxy into a cause.
+  private static String messages(Exception error) {
+    StringBuilder text = new StringBuilder(String.valueOf(error.getMessage()));
+    for (Throwable cause = error.getCause(); cause != null; cause = cause.getCause()) {
+      text.append("; ").append(cause.getMessage());
+    }
+    return text.toString();
   }
 
   // The driver reports errors of commit, roll-back and of opening a connection without wrapping
--- a/load/src/main/java/org/oleanderstep/load/workload/Tables.java
+++ b/load/src/main/java/org/oleanderstep/load/workload/Tables.java
@@ -21,18 +21,20 @@
   private Tables() {}
 
   /**
-   * Creates and fills the tables.
+   * Creates and fills the tables; may be repeated after a failure.
    *
    * @throws SQLException if a statement fails
    */
   public static void create(Connection connection) throws SQLException {
     try (Statement statement = connection.createStatement()) {
       statement.executeUpdate(
-          "CREATE TABLE board_order (entry UUID PRIMARY KEY, id VARCHAR(80), organisation VARCHAR(80))");
-      statement.executeUpdate("CREATE TABLE counter (id VARCHAR(80) PRIMARY KEY, number BIGINT)");
-      statement.executeUpdate("CREATE TABLE account (id INT PRIMARY KEY, balance BIGINT)");
+          "CREATE TABLE IF NOT EXISTS board_order (entry UUID PRIMARY KEY, id VARCHAR(80), organisation VARCHAR(80))");
+      statement.executeUpdate(
+          "CREATE TABLE IF NOT EXISTS counter (id VARCHAR(80) PRIMARY KEY, number BIGINT)");
+      statement.executeUpdate(
+          "CREATE TABLE IF NOT EXISTS account (id INT PRIMARY KEY, balance BIGINT)");
     }
-    String insert = "INSERT INTO account (id, balance) VALUES (?, ?)";
+    String insert = "MERGE INTO account (id, balance) VALUES (?, ?)";
     try (PreparedStatement account = connection.prepareStatement(insert)) {
       for (int i = 0; i < ACCOUNTS; i++) {
         account.setInt(1, i);
--- a/load/src/main/java/org/oleanderstep/load/workload/Workload.java
+++ b/load/src/main/java/org/oleanderstep/load/workload/Workload.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
+import org.oleanderstep.load.fleet.CallerKey;
 import org.oleanderstep.load.fleet.Fleet;
 import org.oleanderstep.load.fleet.ProxyNode;
 import org.oleanderstep.load.history.Recorder;
@@ -68,7 +69,7 @@
               load, fleet, connections, OperationMix.of(scenario), choice, recorder, random));
     }
     for (Session session : sessions) {
-      session.open();
+      Preparation.untilAccepted(session::open);
     }
     return new Workload(sessions);
   }
@@ -85,9 +86,13 @@
               .orElseThrow(
                   () ->
                       new IllegalArgumentException("no organisation loads the service " + service));
-      try (Connection connection = connections.open(database, fleet.key(organisation), 0)) {
-        Tables.create(connection);
-      }
+      CallerKey key = fleet.key(organisation);
+      Preparation.untilAccepted(
+          () -> {
+            try (Connection connection = connections.open(database, key, 0)) {
+              Tables.create(connection);
+            }
+          });
     }
   }
 
--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/TargetFailures.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/TargetFailures.java
@@ -48,7 +48,8 @@
     String state = ErrorAnswers.sqlState(e);
     if (state.equals(NOT_SERVING) || (state.equals(READ_ONLY_MEMBER) && !readOnly)) {
       return new RequestFailure.RefusedByTarget(
-          NotRunReason.NO_PRIMARY, "the member does not take the statement");
+          NotRunReason.NO_PRIMARY,
+          "the member does not take the statement: " + ErrorAnswers.message(e));
     }
     if (state.equals(NO_CONNECTION_LEFT)) {
       return new RequestFailure.RefusedByTarget(
