Prepare writing statements at the primary

Cause: a session with a known position has its reads served by replicas, and preparing a statement counted as a read. The target refuses to prepare a writing statement on a replica (25006), so the second prepared write of each session ended as "not run" (57P03). Ruled out: a primary without majority and rebuilt members; the member's own answer names the replica. The test fails without the change.

--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/CallService.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/CallService.java
@@ -440,9 +440,10 @@
       throw OutcomeException.notRun(NotRunReason.BAD_REQUEST, "the statement is too long");
     }
     int id = connection.add(new CallerStatement(request.sql));
-    return execution.read(
+    return execution.prepare(
         call,
         connection,
+        StatementClassifier.classify(request.sql),
         target -> {
           PreparedStatement jdbc = target.prepared(request.sql);
           return new Service.PrepareResponse(
--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/Execution.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/Execution.java
@@ -619,6 +619,21 @@
 
   /** Runs work that only reads, such as a look-up of metadata, on a member that may serve it. */
   <T> CompletableFuture<T> read(CallContext call, CallerConnection connection, TargetRead<T> work) {
+    return describe(call, connection, readRequest(call, false), work);
+  }
+
+  /**
+   * Prepares a statement where it will run. Some databases refuse to prepare a writing statement on
+   * a replica.
+   */
+  <T> CompletableFuture<T> prepare(
+      CallContext call, CallerConnection connection, StatementKind kind, TargetRead<T> work) {
+    LeaseRequest request = kind.writes() ? writeRequest(call, false) : readRequest(call, false);
+    return describe(call, connection, request, work);
+  }
+
+  private <T> CompletableFuture<T> describe(
+      CallContext call, CallerConnection connection, LeaseRequest request, TargetRead<T> work) {
     Optional<CallerConnection.Transaction> open = connection.transaction();
     if (open.isPresent()) {
       return CompletableFuture.supplyAsync(
@@ -626,7 +641,7 @@
     }
     return targets.run(
         call.database(),
-        readRequest(call, false),
+        request,
         lease -> {
           try {
             return apply(call, connection, work, lease);
--- a/proxy/src/test/java/org/oleanderstep/proxy/internal/traffic/WholePathTest.java
+++ b/proxy/src/test/java/org/oleanderstep/proxy/internal/traffic/WholePathTest.java
@@ -194,6 +194,24 @@
     }
   }
 
+  // Once a session has a position, its reads go to replicas; a write was prepared there too, and
+  // the
+  // replica refused it.
+  @Test
+  void should_prepare_a_write_after_a_write() throws SQLException {
+    try (Connection connection = proxy.connect(TestControl.ORDERS)) {
+      for (int i = 0; i < 10; i++) {
+        try (PreparedStatement insert =
+            connection.prepareStatement("insert into board values (?, 'elm', null)")) {
+          insert.setInt(1, i);
+          assertThat(insert.executeUpdate()).isEqualTo(1);
+        }
+        proxy.control().refresh();
+      }
+    }
+    assertThat(group.number("select count(*) from board")).isEqualTo(10);
+  }
+
   @Test
   void should_read_own_writes_on_replicas() throws SQLException {
     try (Connection connection = proxy.connect(TestControl.ORDERS);
