--- a/load/src/main/java/org/oleanderstep/load/report/Verdict.java
+++ b/load/src/main/java/org/oleanderstep/load/report/Verdict.java
@@ -75,6 +75,7 @@
     failoverGapsMillis.forEach(
         (database, gap) -> text.append(line("M2 failover gap of %s: %d ms", database, gap)));
     organisations.stream()
+        .filter(OrganisationResult::insideRate)
         .min((a, b) -> Double.compare(a.servedShare(), b.servedShare()))
         .ifPresent(worst -> text.append(worstServed(worst)));
     text.append(refusals());
@@ -91,7 +92,7 @@
 
   private static String worstServed(OrganisationResult worst) {
     return line(
-        "M3 worst-served organisation: %s, %.2f%% of %d served, p50 %d us, p99 %d us",
+        "M3 worst-served organisation inside its rate: %s, %.2f%% of %d served, p50 %d us, p99 %d us",
         worst.organisation(),
         100 * worst.servedShare(),
         worst.attempted(),
