Prove what is current by a majority before a read of an unknown session

A session without a token was served by the primary that its proxy knew, while another member may have been promoted and have the session's writes (H1). The router could ask for a proof already, but the default was not to, because the adapters ignored RouteDecision.AskMembers.

- ControlPlane.askMembers replaces freshPrimaryPosition, which asked only the primary and was unused.
It polls all members anew; calls within 2 ms, and calls while a request to a member is in flight, share the next request.
The proof is published at once.
- DatabaseTraffic lets such reads wait until the published view has a position proved after their arrival, or refuses them at their deadline.
- A reply that a later one has overtaken no longer makes a primary current again that has since reported no majority.
- Position and incarnation of each answer to a read are compared with what the member was chosen by; a stale answer is routed again, where it was refused as "no capacity" before and not checked for metadata and the first statement of a read-only transaction.
- Statements that write are prepared on the primary.
A replica refuses to prepare them (25006), which showed as 57P03 once reads of unknown sessions went to replicas.

Checked: GroupMonitor passes the time at which a request was sent to the tracker on all paths (polls, fences, promotions); no change needed.

--- a/core/src/main/java/org/oleanderstep/core/routing/GroupTracker.java
+++ b/core/src/main/java/org/oleanderstep/core/routing/GroupTracker.java
@@ -63,8 +63,10 @@
       return;
     }
     published = null;
-    member.onStatus(status, askedNanos, nowNanos);
-    if (status.role() == MemberRole.PRIMARY && status.term() >= term) {
+    if (!member.onStatus(status, askedNanos, nowNanos)) {
+      // A reply that was overtaken tells of a term, but not who acknowledges writes now.
+      onTerm(status.term());
+    } else if (status.role() == MemberRole.PRIMARY && status.term() >= term) {
       onPrimaryStatus(status);
     } else if (status.term() > term) {
       onTerm(status.term());
@@ -76,8 +78,11 @@
 
   private void onPrimaryStatus(MemberStatus status) {
     term = status.term();
-    boolean acknowledges = status.hasMajority() && status.promisedTerm() <= status.term();
-    primary = acknowledges ? Optional.of(status.member()) : Optional.empty();
+    primary = acknowledges(status) ? Optional.of(status.member()) : Optional.empty();
+  }
+
+  private static boolean acknowledges(MemberStatus status) {
+    return status.hasMajority() && status.promisedTerm() <= status.term();
   }
 
   /** Adds the primary's position with the latest time for which a majority proves it. */
@@ -193,7 +198,8 @@
       this.near = near;
     }
 
-    void onStatus(MemberStatus status, long askedNanos, long nowNanos) {
+    /** Returns whether no later request has been answered before. */
+    boolean onStatus(MemberStatus status, long askedNanos, long nowNanos) {
       reachable = true;
       if (!status.incarnation().equals(incarnation)) {
         forgetPositions(nowNanos);
@@ -203,7 +209,8 @@
         incarnation = newer ? status.incarnation() : UNKNOWN_INCARNATION;
       }
       onPosition(status.incarnation(), status.applied(), nowNanos);
-      if (!heard || askedNanos - lastAskedNanos >= 0) {
+      boolean latest = !heard || askedNanos - lastAskedNanos >= 0;
+      if (latest) {
         role = status.role();
         term = status.term();
         promisedTerm = status.promisedTerm();
@@ -212,6 +219,7 @@
       }
       lastStatusNanos = nowNanos;
       heard = true;
+      return latest;
     }
 
     boolean onPosition(String ofIncarnation, LogPosition position, long nowNanos) {
--- a/core/src/main/java/org/oleanderstep/core/routing/StatementRouter.java
+++ b/core/src/main/java/org/oleanderstep/core/routing/StatementRouter.java
@@ -40,7 +40,7 @@
      * The primary known to this proxy serves at once.
      *
      * <p>Within the time that this proxy needs to learn of a new primary, such a session may miss
-     * its own writes.
+     * its own writes. Only a baseline for measurements and simulations.
      */
     RUN_ON_KNOWN_PRIMARY,
     /** The read waits for {@link RouteDecision.AskMembers} first, and may then go to a replica. */
@@ -50,9 +50,9 @@
   private final OutstandingStatements outstanding;
   private final UnknownSessions unknownSessions;
 
-  /** Creates a router that balances by the given counts and serves unknown sessions at once. */
+  /** Creates a router that balances by the given counts and asks members for unknown sessions. */
   public StatementRouter(OutstandingStatements outstanding) {
-    this(outstanding, UnknownSessions.RUN_ON_KNOWN_PRIMARY);
+    this(outstanding, UnknownSessions.ASK_MEMBERS);
   }
 
   /** Creates a router that balances by the given counts. */
--- a/core/src/test/java/org/oleanderstep/core/routing/GroupTrackerTest.java
+++ b/core/src/test/java/org/oleanderstep/core/routing/GroupTrackerTest.java
@@ -93,6 +93,31 @@
     assertThat(tracker.view().positionSince(91)).isEqualTo(Optional.empty());
   }
 
+  // Guards H1: a delayed reply must not make a primary current again that has lost its majority.
+  @Test
+  void should_not_take_a_primary_from_a_reply_that_was_overtaken() {
+    MemberStatus old = status(A, "one", MemberRole.PRIMARY, 1, 1, 5);
+    MemberStatus alone =
+        new MemberStatus(
+            A,
+            "one",
+            MemberRole.PRIMARY,
+            1,
+            1,
+            "candidate",
+            old.applied(),
+            old.applied(),
+            Duration.ZERO,
+            false,
+            false,
+            Optional.empty());
+    tracker.onStatus(replica(B, "one", 5), 20, 21);
+    tracker.onStatus(alone, 20, 22);
+    tracker.onStatus(old, 10, 23);
+    assertThat(tracker.view().primary()).isEqualTo(Optional.empty());
+    assertThat(tracker.view().positionSince(0)).isEqualTo(Optional.empty());
+  }
+
   @Test
   void should_publish_the_same_view_while_nothing_changes() {
     tracker.onStatus(replica(B, "one", 9), 0, 1);
--- a/core/src/test/java/org/oleanderstep/core/routing/StatementRouterTest.java
+++ b/core/src/test/java/org/oleanderstep/core/routing/StatementRouterTest.java
@@ -120,16 +120,17 @@
         .isEqualTo(run(A, 1));
   }
 
+  // Guards H1 of sessions without a token: the known primary may have been replaced.
   @Test
-  void should_ask_the_members_first_for_an_unknown_session_if_told_so() {
+  void should_ask_the_members_first_for_an_unknown_session_unless_told_otherwise() {
     GroupView view = view(member(A, 9, 0), member(B, 9, 0));
     ReadNeed unknown = new ReadNeed.PrimaryOnly();
-    StatementRouter asking =
+    StatementRouter trusting =
         new StatementRouter(
-            OutstandingStatements.OF_VIEW, StatementRouter.UnknownSessions.ASK_MEMBERS);
-    assertThat(asking.routeRead(view, unknown, ReadRule.SESSION, NOW, random))
-        .isEqualTo(new RouteDecision.AskMembers());
-    assertThat(read(view, unknown)).isEqualTo(new RouteDecision.Run(A, 3));
+            OutstandingStatements.OF_VIEW, StatementRouter.UnknownSessions.RUN_ON_KNOWN_PRIMARY);
+    assertThat(read(view, unknown)).isEqualTo(new RouteDecision.AskMembers());
+    assertThat(trusting.routeRead(view, unknown, ReadRule.SESSION, NOW, random))
+        .isEqualTo(new RouteDecision.Run(A, 3));
   }
 
   @Test
--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/CallService.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/CallService.java
@@ -440,9 +440,12 @@
       throw OutcomeException.notRun(NotRunReason.BAD_REQUEST, "the statement is too long");
     }
     int id = connection.add(new CallerStatement(request.sql));
+    // A replica refuses to prepare a statement that writes.
+    boolean onPrimary = StatementClassifier.classify(request.sql).writes();
     return execution.read(
         call,
         connection,
+        onPrimary,
         target -> {
           PreparedStatement jdbc = target.prepared(request.sql);
           return new Service.PrepareResponse(
--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/Execution.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/Execution.java
@@ -32,6 +32,7 @@
 import org.oleanderstep.proxy.internal.target.LeaseRequest;
 import org.oleanderstep.proxy.internal.target.OutcomeException;
 import org.oleanderstep.proxy.internal.target.RequestLog;
+import org.oleanderstep.proxy.internal.target.StaleAnswerException;
 import org.oleanderstep.proxy.internal.target.TargetConnection;
 import org.oleanderstep.proxy.internal.target.Targets;
 import org.oleanderstep.proxy.internal.target.TrafficContext;
@@ -170,11 +171,14 @@
               : runPlain(connection, run, progress, target, lease);
       progress.reach(RequestStage.ANSWERED);
       if (!kind.writes()) {
-        checkFresh(call, run, target);
+        checkFresh(call, run, progress, lease);
       }
       keep = run.statement().cursor().isPresent();
       noteAnswer(call, lease, kind.writes());
       return answer;
+    } catch (StaleAnswerException e) {
+      run.statement().setCursor(null);
+      throw e;
     } catch (SQLException | RuntimeException e) {
       run.statement().setCursor(null);
       throw failure(call, connection, progress, lease, e);
@@ -227,11 +231,13 @@
   }
 
   /** A member that was rebuilt since it was chosen may have older data than the session needs. */
-  private static void checkFresh(CallContext call, StatementRun run, TargetConnection target) {
-    if (!meets(
-        call.session().need(call.database()), target.position().map(GroupPosition::position))) {
+  private static void checkFresh(
+      CallContext call, StatementRun run, RequestProgress progress, Lease lease) {
+    Optional<LogPosition> position = lease.connection().position().map(GroupPosition::position);
+    if (!lease.isAnswerFresh() || !meets(call.session().need(call.database()), position)) {
       run.statement().closeCursor();
-      throw OutcomeException.notRun(NotRunReason.NO_CAPACITY, "the member's data was too old");
+      progress.startRetry();
+      throw new StaleAnswerException();
     }
   }
 
@@ -430,7 +436,14 @@
             .withTransaction(
                 new TransactionToken(
                     call.snapshot().vm(), call.snapshot().instance(), transaction.number())));
-    return runInTransaction(call, connection, run, transaction);
+    Service.Response answer = runInTransaction(call, connection, run, transaction);
+    if (readOnly && !lease.isAnswerFresh()) {
+      // Nothing of the transaction was given to the caller, so it begins anew elsewhere.
+      lose(call, connection);
+      connection.setTransactionLost(false);
+      throw new StaleAnswerException();
+    }
+    return answer;
   }
 
   private Service.Response runInTransaction(
@@ -619,6 +632,12 @@
 
   /** Runs work that only reads, such as a look-up of metadata, on a member that may serve it. */
   <T> CompletableFuture<T> read(CallContext call, CallerConnection connection, TargetRead<T> work) {
+    return read(call, connection, false, work);
+  }
+
+  /** Runs work that only reads, if need be on the primary. */
+  <T> CompletableFuture<T> read(
+      CallContext call, CallerConnection connection, boolean onPrimary, TargetRead<T> work) {
     Optional<CallerConnection.Transaction> open = connection.transaction();
     if (open.isPresent()) {
       return CompletableFuture.supplyAsync(
@@ -626,10 +645,14 @@
     }
     return targets.run(
         call.database(),
-        readRequest(call, false),
+        onPrimary ? writeRequest(call, false) : readRequest(call, false),
         lease -> {
           try {
-            return apply(call, connection, work, lease);
+            T result = apply(call, connection, work, lease);
+            if (!lease.isAnswerFresh()) {
+              throw new StaleAnswerException();
+            }
+            return result;
           } finally {
             lease.release();
           }
--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/control/ControlThread.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/control/ControlThread.java
@@ -30,7 +30,6 @@
 import org.oleanderstep.core.model.MemberId;
 import org.oleanderstep.core.model.OrganisationId;
 import org.oleanderstep.core.model.VmId;
-import org.oleanderstep.core.position.LogPosition;
 import org.oleanderstep.core.routing.GroupView;
 import org.oleanderstep.core.routing.MemberView;
 import org.oleanderstep.proxy.Version;
@@ -169,7 +168,7 @@
   }
 
   private void createParts(PeerIdentity self) {
-    groups = new Groups(self, settings.failover(), loop, memberCalls, random);
+    groups = new Groups(self, settings.failover(), loop, memberCalls, random, this::publish);
     configuration = new ConfigurationKeeper();
     shares =
         new ShareKeeper(
@@ -219,6 +218,7 @@
 
   private void handleEvents() {
     events.drain(this::onEvent);
+    groups.sendWantedRequests();
     if (shares.hasWaiting()) {
       shares.tick();
     }
@@ -402,31 +402,8 @@
   }
 
   @Override
-  public CompletableFuture<LogPosition> freshPrimaryPosition(DatabaseId database) {
-    CompletableFuture<LogPosition> result = new CompletableFuture<>();
-    loop.post(
-        () -> {
-          Optional<GroupMonitor> monitor = groups.monitor(database);
-          if (monitor.isEmpty()) {
-            result.completeExceptionally(
-                new IllegalStateException("database " + database + " is not declared"));
-            return;
-          }
-          forward(monitor.get().freshPrimaryPosition(), result);
-        });
-    return result;
-  }
-
-  private static <T> void forward(CompletableFuture<T> from, CompletableFuture<T> to) {
-    CompletableFuture<T> unused =
-        from.whenComplete(
-            (value, failure) -> {
-              if (failure == null) {
-                to.complete(value);
-              } else {
-                to.completeExceptionally(failure);
-              }
-            });
+  public void askMembers(DatabaseId database) {
+    loop.post(() -> groups.monitor(database).ifPresent(GroupMonitor::askMembers));
   }
 
   @Override
--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/control/GroupMonitor.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/control/GroupMonitor.java
@@ -18,7 +18,6 @@
 import org.oleanderstep.core.failover.FailoverAction;
 import org.oleanderstep.core.failover.FailoverController;
 import org.oleanderstep.core.failover.FailoverSettings;
-import org.oleanderstep.core.failover.MemberRole;
 import org.oleanderstep.core.failover.MemberStatus;
 import org.oleanderstep.core.failover.PrimaryView;
 import org.oleanderstep.core.membership.PeerIdentity;
@@ -42,12 +41,16 @@
   private static final Duration STATUS_DEADLINE = Duration.ofMillis(600);
 
   private static final Duration ORDER_DEADLINE = Duration.ofMillis(500);
-  private static final Duration FRESH_POSITION_LIMIT = Duration.ofSeconds(2);
+
+  /** Bounds the load on members and on the control thread; later requests share the next round. */
+  private static final Duration SHORTEST_ASK_INTERVAL = Duration.ofMillis(2);
 
   /** A member with the state of its polls. */
   private static final class Member {
     private final MemberDefinition definition;
     private boolean polling;
+    private boolean asking;
+    private boolean askAgain;
     private Optional<MemberStatus> last = Optional.empty();
 
     Member(MemberDefinition definition) {
@@ -66,15 +69,13 @@
   private final GroupTracker tracker;
   private final Map<MemberId, Member> members = new LinkedHashMap<>();
   private final List<CompletableFuture<ChangeResult>> changes = new ArrayList<>();
-  private final List<FreshPosition> fresh = new ArrayList<>();
+  private final Runnable publish;
   private Set<MemberId> listedLeaving = Set.of();
   private long fencingTerm;
   private boolean closed;
-  private boolean askingPrimary;
-  private int answeredFresh;
-
-  /** A caller that waits for a status of the primary asked after its own call. */
-  private record FreshPosition(CompletableFuture<LogPosition> result, long askedNanos) {}
+  private boolean askWanted;
+  private boolean proofAwaited;
+  private long lastAskNanos;
 
   GroupMonitor(
       DatabaseId database,
@@ -83,11 +84,14 @@
       FailoverSettings settings,
       ControlLoop loop,
       MemberCalls calls,
-      RandomGenerator random) {
+      RandomGenerator random,
+      Runnable publish) {
     this.database = database;
     this.definition = definition;
     this.loop = loop;
     this.calls = calls;
+    this.publish = publish;
+    this.lastAskNanos = loop.nanoTime() - SHORTEST_ASK_INTERVAL.toNanos();
     definition.members().forEach(m -> members.put(m.id(), new Member(m)));
     this.controller =
         new FailoverController(
@@ -171,7 +175,7 @@
   private void takeStatus(Member member, MemberStatus status, long asked) {
     member.last = Optional.of(status);
     tracker.onStatus(status, asked, loop.nanoTime());
-    answerFreshPositions(status, asked);
+    publishProof();
   }
 
   private void onStatusFailure(Member member) {
@@ -183,8 +187,6 @@
 
   void tick() {
     carryOut(controller.onTick(loop.nanoTime()));
-    failOverdueFreshPositions();
-    askPrimaryForPosition();
   }
 
   void onPeers(Collection<VmId> live) {
@@ -232,70 +234,55 @@
     return result;
   }
 
-  // Fresh positions of the primary.
+  // Proofs of what is current.
 
-  CompletableFuture<LogPosition> freshPrimaryPosition() {
-    CompletableFuture<LogPosition> result = new CompletableFuture<>();
-    fresh.add(new FreshPosition(result, loop.nanoTime()));
-    askPrimaryForPosition();
-    return result;
+  /** Asks all members anew, for reads that may not rely on what was known before. */
+  void askMembers() {
+    askWanted = true;
+    sendWantedRequests();
+  }
+
+  void sendWantedRequests() {
+    long now = loop.nanoTime();
+    if (!askWanted || closed || now - lastAskNanos < SHORTEST_ASK_INTERVAL.toNanos()) {
+      return;
+    }
+    askWanted = false;
+    proofAwaited = true;
+    lastAskNanos = now;
+    members.values().forEach(this::ask);
   }
 
-  private void askPrimaryForPosition() {
-    Optional<Member> primary = controller.primary().map(view -> members.get(view.member()));
-    if (askingPrimary || fresh.isEmpty() || closed || primary.isEmpty()) {
+  /** Sends a request besides the regular polls, or puts it off while one is in flight. */
+  private void ask(Member member) {
+    if (member.asking) {
+      member.askAgain = true;
       return;
     }
-    askingPrimary = true;
-    Member member = primary.get();
-    int waiting = fresh.size();
+    member.asking = true;
+    member.askAgain = false;
     long asked = loop.nanoTime();
     loop.onCompletion(
         calls.status(member.definition.controlAddress(), STATUS_DEADLINE),
         (status, failure) -> {
-          askingPrimary = false;
+          member.asking = false;
+          // Whether a member is reachable is left to the regular polls, which the settings of the
+          // failure detection are made for.
           if (failure == null) {
             onStatus(member, status, asked);
           }
-          // Callers that came meanwhile are asked for at once; if nobody was answered, the next
-          // tick asks again.
-          boolean answered = answeredFresh >= waiting;
-          answeredFresh = 0;
-          if (answered) {
-            askPrimaryForPosition();
+          if (member.askAgain && !closed) {
+            ask(member);
           }
         });
   }
 
-  private void answerFreshPositions(MemberStatus status, long asked) {
-    boolean isPrimary =
-        status.role() == MemberRole.PRIMARY
-            && status.hasMajority()
-            && status.term() >= controller.highestTerm()
-            && status.promisedTerm() <= status.term();
-    if (!isPrimary) {
-      return;
+  /** Publishes at once what reads wait for; other changes are published with the next tick. */
+  private void publishProof() {
+    if (proofAwaited && tracker.view().positionSince(lastAskNanos).isPresent()) {
+      proofAwaited = false;
+      publish.run();
     }
-    List<FreshPosition> answered =
-        fresh.stream().filter(waiter -> asked - waiter.askedNanos() >= 0).toList();
-    fresh.removeAll(answered);
-    answeredFresh += answered.size();
-    answered.forEach(waiter -> waiter.result().complete(status.applied()));
-  }
-
-  private void failOverdueFreshPositions() {
-    long now = loop.nanoTime();
-    List<FreshPosition> overdue =
-        fresh.stream()
-            .filter(waiter -> now - waiter.askedNanos() >= FRESH_POSITION_LIMIT.toNanos())
-            .toList();
-    fresh.removeAll(overdue);
-    overdue.forEach(
-        waiter ->
-            waiter
-                .result()
-                .completeExceptionally(
-                    new IllegalStateException("no primary of " + database + " answered in time")));
   }
 
   // Orders of the controller.
@@ -393,8 +380,6 @@
     closed = true;
     IllegalStateException ended =
         new IllegalStateException("the members of " + database + " were declared anew");
-    fresh.forEach(waiter -> waiter.result().completeExceptionally(ended));
-    fresh.clear();
     changes.forEach(change -> change.completeExceptionally(ended));
     changes.clear();
   }
--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/control/Groups.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/control/Groups.java
@@ -27,6 +27,7 @@
   private final ControlLoop loop;
   private final MemberCalls calls;
   private final RandomGenerator random;
+  private final Runnable publish;
   private Set<MemberId> listedLeaving = Set.of();
   private List<VmId> live = List.of();
 
@@ -35,12 +36,14 @@
       FailoverSettings settings,
       ControlLoop loop,
       MemberCalls calls,
-      RandomGenerator random) {
+      RandomGenerator random,
+      Runnable publish) {
     this.self = self;
     this.settings = settings;
     this.loop = loop;
     this.calls = calls;
     this.random = random;
+    this.publish = publish;
   }
 
   /** Starts and ends monitors so that they match the declared databases. */
@@ -68,7 +71,8 @@
   }
 
   private GroupMonitor create(DatabaseId id, DatabaseDefinition definition) {
-    GroupMonitor monitor = new GroupMonitor(id, definition, self, settings, loop, calls, random);
+    GroupMonitor monitor =
+        new GroupMonitor(id, definition, self, settings, loop, calls, random, publish);
     monitor.onListedLeaving(listedLeaving);
     monitor.onPeers(live);
     monitor.poll();
@@ -87,6 +91,11 @@
     monitors.values().forEach(GroupMonitor::poll);
   }
 
+  /** Sends the status requests that were put off to be shared. */
+  void sendWantedRequests() {
+    monitors.values().forEach(GroupMonitor::sendWantedRequests);
+  }
+
   void tick() {
     monitors.values().forEach(GroupMonitor::tick);
   }
--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/target/DatabaseTraffic.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/target/DatabaseTraffic.java
@@ -31,6 +31,8 @@
 
   private static final int MAX_REROUTES_PER_PASS = 100_000;
 
+  private static final Duration PAUSE_AFTER_STALE_ANSWER = Duration.ofMillis(10);
+
   private final DatabaseId database;
   private final TrafficContext context;
   private final StatementRouter router;
@@ -38,11 +40,22 @@
   private final Object lock = new Object();
   private final List<Waiting> waiting = new ArrayList<>();
 
-  /** A request that waits for a primary, or for a member to reach a position. */
+  /**
+   * A request that waits for a primary, or for a member to reach a position.
+   *
+   * @param forProof whether it waits for a position that was proved after it arrived
+   */
   private record Waiting(
-      LeaseRequest request, long untilNanos, Optional<MemberId> member, LogPosition position) {
+      LeaseRequest request,
+      long untilNanos,
+      Optional<MemberId> member,
+      LogPosition position,
+      boolean forProof) {
 
     boolean isReached(GroupView view) {
+      if (forProof) {
+        return view.positionSince(request.arrivedNanos()).isPresent();
+      }
       if (member.isEmpty()) {
         return view.primary().isPresent();
       }
@@ -72,11 +85,47 @@
   /** Routes a request and runs the work on a worker, or fails with an {@link OutcomeException}. */
   <T> CompletableFuture<T> run(LeaseRequest request, Function<Lease, T> work) {
     // The work is attached first, or it could run on the calling thread.
-    CompletableFuture<T> result = request.lease().thenApply(work);
+    CompletableFuture<T> result =
+        request
+            .lease()
+            .thenApply(work)
+            .exceptionallyCompose(
+                failure ->
+                    isStale(failure)
+                        ? runAgain(request, work)
+                        : CompletableFuture.failedFuture(failure));
     route(request);
     return result;
   }
 
+  private static boolean isStale(Throwable failure) {
+    return failure instanceof StaleAnswerException
+        || failure.getCause() instanceof StaleAnswerException;
+  }
+
+  /** Routes a read again, after a pause in which the control side learns of the member's state. */
+  private <T> CompletableFuture<T> runAgain(LeaseRequest request, Function<Lease, T> work) {
+    CompletableFuture<T> result = new CompletableFuture<>();
+    context.control().askMembers(database);
+    context
+        .scheduler()
+        .after(
+            PAUSE_AFTER_STALE_ANSWER,
+            () -> {
+              CompletableFuture<T> unused =
+                  run(request.again(), work)
+                      .whenComplete(
+                          (value, failure) -> {
+                            if (failure == null) {
+                              result.complete(value);
+                            } else {
+                              result.completeExceptionally(failure);
+                            }
+                          });
+            });
+    return result;
+  }
+
   private void route(LeaseRequest request) {
     if (request.isAbandoned()) {
       MemberTraffic.refuse(request, NotRunReason.DEADLINE, "the caller is gone");
@@ -93,10 +142,10 @@
       await(request, request.deadlineNanos(), Optional.empty(), LogPosition.START);
       return;
     }
-    dispatch(request, view, decide(request, view, now), now);
+    dispatch(request, view, decide(request, view), now);
   }
 
-  private RouteDecision decide(LeaseRequest request, GroupView view, long now) {
+  private RouteDecision decide(LeaseRequest request, GroupView view) {
     if (request.need().isEmpty()) {
       return router.routeWrite(view);
     }
@@ -104,12 +153,14 @@
     return request.waited()
         ? router.routeReadAfterWait(
             view, request.need().get(), request.rule(), request.arrivedNanos(), random)
-        : router.routeRead(view, request.need().get(), request.rule(), now, random);
+        : router.routeRead(
+            view, request.need().get(), request.rule(), request.arrivedNanos(), random);
   }
 
   private void dispatch(LeaseRequest request, GroupView view, RouteDecision decision, long now) {
     if (decision instanceof RouteDecision.Run run) {
       request.setTerm(view.term());
+      request.setChoice(run.atLeast(), incarnation(view, run.member()));
       MemberTraffic member = members.get(run.member());
       if (member == null) {
         await(request, request.deadlineNanos(), Optional.empty(), LogPosition.START);
@@ -126,6 +177,15 @@
     } else if (decision instanceof RouteDecision.WaitForPrimary) {
       request.setWaitKind(TrafficMetrics.Wait.PRIMARY);
       await(request, request.deadlineNanos(), Optional.empty(), LogPosition.START);
+    } else if (decision instanceof RouteDecision.AskMembers) {
+      request.setWaited();
+      request.setWaitKind(TrafficMetrics.Wait.PROOF);
+      // It waits before the members are asked, or the answers could come first.
+      if (await(
+          new Waiting(
+              request, request.deadlineNanos(), Optional.empty(), LogPosition.START, true))) {
+        context.control().askMembers(database);
+      }
     } else if (decision instanceof RouteDecision.Refuse refuse) {
       MemberTraffic.refuse(request, refuse.reason(), "no member can serve it");
     }
@@ -133,13 +193,20 @@
 
   private void await(
       LeaseRequest request, long until, Optional<MemberId> member, LogPosition position) {
+    boolean unused = await(new Waiting(request, until, member, position, false));
+  }
+
+  /** Returns false if the request was refused because too many wait. */
+  private boolean await(Waiting entry) {
     synchronized (lock) {
       if (waiting.size() < context.settings().maxQueuedRequests()) {
-        waiting.add(new Waiting(request, until, member, position));
-        return;
+        waiting.add(entry);
+        return true;
       }
     }
-    MemberTraffic.refuse(request, NotRunReason.NO_CAPACITY, "too many requests wait for a member");
+    MemberTraffic.refuse(
+        entry.request(), NotRunReason.NO_CAPACITY, "too many requests wait for a member");
+    return false;
   }
 
   void onSnapshot(ControlSnapshot snapshot) {
@@ -178,6 +245,16 @@
     }
   }
 
+  private static String incarnation(GroupView view, MemberId member) {
+    List<MemberView> seen = view.members();
+    for (int i = 0; i < seen.size(); i++) {
+      if (seen.get(i).member().equals(member)) {
+        return seen.get(i).incarnation();
+      }
+    }
+    return "";
+  }
+
   private static boolean leaves(GroupView view, MemberId member) {
     return view != null
         && view.members().stream().anyMatch(seen -> seen.member().equals(member) && seen.leaving());
@@ -312,7 +389,7 @@
   private void complete(LeaseRequest request, MemberTraffic member, TargetConnection connection) {
     GroupView view = context.control().snapshot().groups().get(database);
     boolean primary = view != null && view.primary().filter(member.member()::equals).isPresent();
-    Lease lease = new Lease(member, request.organisation(), connection, primary, request.term());
+    Lease lease = new Lease(member, request, connection, primary);
     context
         .metrics()
         .waited(
--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/target/Lease.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/target/Lease.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.oleanderstep.core.model.OrganisationId;
+import org.oleanderstep.core.position.LogPosition;
 
 /**
  * The exclusive use of a target connection by one request, cursor or transaction.
@@ -15,21 +16,20 @@
   private final TargetConnection connection;
   private final boolean primary;
   private final long term;
+  private final LogPosition atLeast;
+  private final String incarnation;
   private final AtomicBoolean released = new AtomicBoolean();
   private final AtomicBoolean counted = new AtomicBoolean(true);
   private volatile long startedNanos = System.nanoTime();
 
-  Lease(
-      MemberTraffic owner,
-      OrganisationId organisation,
-      TargetConnection connection,
-      boolean primary,
-      long term) {
+  Lease(MemberTraffic owner, LeaseRequest request, TargetConnection connection, boolean primary) {
     this.owner = owner;
-    this.organisation = organisation;
+    this.organisation = request.organisation();
     this.connection = connection;
     this.primary = primary;
-    this.term = term;
+    this.term = request.term();
+    this.atLeast = request.atLeast();
+    this.incarnation = request.incarnation();
   }
 
   /** Returns the connection. */
@@ -47,6 +47,19 @@
     return term;
   }
 
+  /**
+   * Returns whether the member's last answer is from the incarnation that it was chosen by and from
+   * data that has the position required of it. An answer without a position counts as fresh.
+   */
+  public boolean isAnswerFresh() {
+    return connection.position().map(this::isFresh).orElse(true);
+  }
+
+  private boolean isFresh(GroupPosition answered) {
+    boolean sameIncarnation = incarnation.isEmpty() || incarnation.equals(answered.incarnation());
+    return sameIncarnation && answered.position().compareTo(atLeast) >= 0;
+  }
+
   OrganisationId organisation() {
     return organisation;
   }
--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/target/LeaseRequest.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/target/LeaseRequest.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import org.oleanderstep.core.model.OrganisationId;
+import org.oleanderstep.core.position.LogPosition;
 import org.oleanderstep.core.position.ReadNeed;
 import org.oleanderstep.core.routing.ReadRule;
 import org.oleanderstep.proxy.internal.traffic.TrafficMetrics;
@@ -22,11 +23,13 @@
   private final ReadRule rule;
   private final long deadlineNanos;
   private final BooleanSupplier callerGone;
-  private final long arrivedNanos = System.nanoTime();
+  private final long arrivedNanos;
   private final CompletableFuture<Lease> lease = new CompletableFuture<>();
   private volatile boolean admitted;
   private volatile boolean waited;
   private volatile long term;
+  private volatile LogPosition atLeast = LogPosition.START;
+  private volatile String incarnation = "";
   private volatile TrafficMetrics.Wait wait = TrafficMetrics.Wait.QUEUE;
 
   private LeaseRequest(
@@ -35,13 +38,15 @@
       Optional<ReadNeed> need,
       ReadRule rule,
       long deadlineNanos,
-      BooleanSupplier callerGone) {
+      BooleanSupplier callerGone,
+      long arrivedNanos) {
     this.organisation = organisation;
     this.limited = limited;
     this.need = need;
     this.rule = rule;
     this.deadlineNanos = deadlineNanos;
     this.callerGone = callerGone;
+    this.arrivedNanos = arrivedNanos;
   }
 
   /** Returns a request for a member that may serve a read. */
@@ -53,7 +58,24 @@
       long deadlineNanos,
       BooleanSupplier callerGone) {
     return new LeaseRequest(
-        organisation, limited, Optional.of(need), rule, deadlineNanos, callerGone);
+        organisation,
+        limited,
+        Optional.of(need),
+        rule,
+        deadlineNanos,
+        callerGone,
+        System.nanoTime());
+  }
+
+  /** Returns a request for another attempt; it keeps its arrival and its token of the rate. */
+  LeaseRequest again() {
+    LeaseRequest next =
+        new LeaseRequest(
+            organisation, limited, need, rule, deadlineNanos, callerGone, arrivedNanos);
+    next.admitted = admitted;
+    next.waited = true;
+    next.wait = wait;
+    return next;
   }
 
   /**
@@ -67,7 +89,13 @@
       long deadlineNanos,
       BooleanSupplier callerGone) {
     return new LeaseRequest(
-        organisation, limited, Optional.empty(), ReadRule.SESSION, deadlineNanos, callerGone);
+        organisation,
+        limited,
+        Optional.empty(),
+        ReadRule.SESSION,
+        deadlineNanos,
+        callerGone,
+        System.nanoTime());
   }
 
   OrganisationId organisation() {
@@ -131,6 +159,21 @@
     term = value;
   }
 
+  /** Returns the position that the chosen member must have when it answers. */
+  LogPosition atLeast() {
+    return atLeast;
+  }
+
+  /** Returns the incarnation that the member was chosen by; empty if it was not known. */
+  String incarnation() {
+    return incarnation;
+  }
+
+  void setChoice(LogPosition position, String ofIncarnation) {
+    atLeast = position;
+    incarnation = ofIncarnation;
+  }
+
   TrafficMetrics.Wait waitKind() {
     return wait;
   }
--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/traffic/ControlPlane.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/traffic/ControlPlane.java
@@ -3,7 +3,6 @@
 import java.util.concurrent.CompletableFuture;
 import org.oleanderstep.core.model.DatabaseId;
 import org.oleanderstep.core.model.OrganisationId;
-import org.oleanderstep.core.position.LogPosition;
 
 /**
  * The control side as traffic threads see it.
@@ -20,10 +19,13 @@
   void report(TrafficEvent event);
 
   /**
-   * Asks the primary for its status after this call and completes with its applied position, or
-   * exceptionally when no primary answered in time.
+   * Asks all members of a database for their status with requests sent after this call.
+   *
+   * <p>Calls at about the same time share the requests. Once the answers prove a position, a
+   * snapshot is published whose {@link org.oleanderstep.core.routing.GroupView#positionSince} has
+   * it for the time of this call; while a majority or the primary does not answer, none does.
    */
-  CompletableFuture<LogPosition> freshPrimaryPosition(DatabaseId database);
+  void askMembers(DatabaseId database);
 
   /**
    * Takes one token of the organisation's rate, waiting for peers for a short time if need be.
--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/traffic/TrafficMetrics.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/traffic/TrafficMetrics.java
@@ -17,7 +17,8 @@
   public enum Wait {
     QUEUE,
     REPLICA,
-    PRIMARY
+    PRIMARY,
+    PROOF
   }
 
   private final Timer served;
--- a/proxy/src/test/java/org/oleanderstep/proxy/FakeMember.java
+++ b/proxy/src/test/java/org/oleanderstep/proxy/FakeMember.java
@@ -25,6 +25,7 @@
   private MemberStatus status;
   private long primaryHeardNanos = System.nanoTime();
   private boolean primaryAlive = true;
+  private int statusRequests;
 
   FakeMember(String name, String primary) {
     status =
@@ -72,6 +73,30 @@
     status = status.toBuilder().setApplied(position).setReceived(position).build();
   }
 
+  /** Makes the member a primary as if another proxy had ordered it. */
+  synchronized void becomePrimary(long term, long index) {
+    Position position = Position.newBuilder().setTerm(term).setIndex(index).build();
+    status =
+        status.toBuilder()
+            .setRole(Role.PRIMARY)
+            .setTerm(term)
+            .setPromisedTerm(term)
+            .setPrimary(status.getMember())
+            .setApplied(position)
+            .setReceived(position)
+            .setHasMajority(true)
+            .build();
+  }
+
+  /** Takes a term as if another proxy had fenced the member. */
+  synchronized void promise(long term) {
+    status = status.toBuilder().setPromisedTerm(term).build();
+  }
+
+  synchronized int statusRequests() {
+    return statusRequests;
+  }
+
   /** Lets a replica stop to hear from its primary. */
   synchronized void losePrimary() {
     primaryAlive = false;
@@ -88,6 +113,7 @@
   public void status(MemberStatusRequest request, StreamObserver<MemberStatus> observer) {
     MemberStatus report;
     synchronized (this) {
+      statusRequests++;
       report = report();
     }
     observer.onNext(report);
--- a/proxy/src/test/java/org/oleanderstep/proxy/ProxyFleetTest.java
+++ b/proxy/src/test/java/org/oleanderstep/proxy/ProxyFleetTest.java
@@ -7,8 +7,8 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -17,8 +17,11 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.oleanderstep.core.model.DatabaseId;
+import org.oleanderstep.core.model.MemberId;
 import org.oleanderstep.core.model.OrganisationId;
 import org.oleanderstep.core.position.LogPosition;
+import org.oleanderstep.core.routing.GroupView;
+import org.oleanderstep.core.routing.MemberView;
 import org.oleanderstep.proxy.internal.traffic.Admission;
 import org.oleanderstep.proxy.internal.traffic.ControlPlane;
 import org.oleanderstep.schema.v1.PlatformFaults;
@@ -303,31 +306,78 @@
   @Nested
   class FreshPositions {
 
-    // A position cached before the call may lack a write that another proxy acknowledged.
-    @Test
-    void should_ask_the_primary_after_the_call() throws Exception {
+    private final DatabaseId database = new DatabaseId("s", "d");
+
+    private ControlPlane startWithPrimary() {
       startReady(1);
       ControlPlane control = fleet.proxies.get("vm-1").control();
-      DatabaseId database = new DatabaseId("s", "d");
-      Fleet.await(
-          "primary",
-          IN_FORCE_AIM,
-          () -> control.snapshot().groups().get(database).primary().isPresent());
+      Fleet.await("primary", IN_FORCE_AIM, () -> view(control).primary().isPresent());
+      return control;
+    }
+
+    private GroupView view(ControlPlane control) {
+      return control.snapshot().groups().get(database);
+    }
+
+    // A position cached before the call may lack a write that another proxy acknowledged.
+    @Test
+    void should_prove_positions_by_requests_sent_after_the_call() {
+      ControlPlane control = startWithPrimary();
       for (int index = 100; index < 150; index++) {
         fleet.members.get(0).setApplied(index);
-        LogPosition position = control.freshPrimaryPosition(database).get(3, TimeUnit.SECONDS);
-        assertThat(position).isEqualTo(new LogPosition(1, index));
+        long asked = System.nanoTime();
+        control.askMembers(database);
+        Fleet.await(
+            "proof", Duration.ofSeconds(3), () -> view(control).positionSince(asked).isPresent());
+        assertThat(view(control).positionSince(asked))
+            .isEqualTo(Optional.of(new LogPosition(1, index)));
       }
     }
 
+    // Guards H1 of sessions without a token: an old primary that is still reachable goes on to
+    // report a majority for a while after another member was promoted.
     @Test
-    void should_fail_when_no_primary_answers() {
-      startReady(1);
-      fleet.members.get(0).close();
-      ControlPlane control = fleet.proxies.get("vm-1").control();
-      assertThrows(
-          ExecutionException.class,
-          () -> control.freshPrimaryPosition(new DatabaseId("s", "d")).get(10, TimeUnit.SECONDS));
+    void should_prove_the_newer_primarys_position_while_the_old_one_still_answers() {
+      ControlPlane control = startWithPrimary();
+      fleet.members.get(1).becomePrimary(2, 50);
+      fleet.members.get(2).promise(2);
+      long asked = System.nanoTime();
+      control.askMembers(database);
+      Fleet.await(
+          "proof", Duration.ofSeconds(3), () -> view(control).positionSince(asked).isPresent());
+      assertThat(view(control).primary()).isEqualTo(Optional.of(new MemberId("m2")));
+      assertThat(view(control).positionSince(asked)).isEqualTo(Optional.of(new LogPosition(2, 50)));
+    }
+
+    // An old primary that a proxy reaches alone must not prove anything.
+    @Test
+    void should_prove_nothing_without_a_majority() throws Exception {
+      ControlPlane control = startWithPrimary();
+      fleet.members.get(1).close();
+      fleet.members.get(2).close();
+      Fleet.await(
+          "loss",
+          Duration.ofSeconds(5),
+          () -> view(control).members().stream().filter(MemberView::reachable).count() == 1);
+      long asked = System.nanoTime();
+      control.askMembers(database);
+      Thread.sleep(1_000);
+      assertThat(view(control).positionSince(asked)).isEqualTo(Optional.empty());
+    }
+
+    // Requests for many reads at once must not reach the members one by one.
+    @Test
+    void should_share_requests_between_calls_at_the_same_time() {
+      ControlPlane control = startWithPrimary();
+      int before = fleet.members.get(0).statusRequests();
+      for (int i = 0; i < 500; i++) {
+        control.askMembers(database);
+      }
+      long last = System.nanoTime();
+      control.askMembers(database);
+      Fleet.await(
+          "proof", Duration.ofSeconds(3), () -> view(control).positionSince(last).isPresent());
+      assertThat(fleet.members.get(0).statusRequests() - before).isLessThan(50);
     }
   }
 
--- a/proxy/src/test/java/org/oleanderstep/proxy/internal/traffic/TestControl.java
+++ b/proxy/src/test/java/org/oleanderstep/proxy/internal/traffic/TestControl.java
@@ -29,6 +29,7 @@
 import org.oleanderstep.core.position.LogPosition;
 import org.oleanderstep.core.routing.GroupView;
 import org.oleanderstep.core.routing.MemberView;
+import org.oleanderstep.core.routing.PositionSample;
 import org.oleanderstep.schema.v1.MemberStatus;
 import org.oleanderstep.schema.v1.Role;
 
@@ -130,7 +131,9 @@
   private GroupView view(DatabaseId database, String prefix, Map<MemberId, String> incarnations) {
     List<MemberView> members = new ArrayList<>();
     long term = 0;
+    long asked = System.nanoTime();
     Optional<MemberId> primary = Optional.empty();
+    List<PositionSample> proved = List.of();
     for (var entry : group.members().entrySet()) {
       MemberStatus status = entry.getValue().status();
       MemberId id = new MemberId(prefix + entry.getKey());
@@ -150,10 +153,11 @@
               false));
       if (status.getTerm() >= term && status.getRole() == Role.PRIMARY) {
         primary = Optional.of(id);
+        proved = List.of(new PositionSample(asked, applied));
       }
       term = Math.max(term, status.getTerm());
     }
-    return new GroupView(database, term, primary, members);
+    return new GroupView(database, term, primary, members, proved);
   }
 
   private void publish(ControlSnapshot next) {
@@ -196,10 +200,8 @@
   }
 
   @Override
-  public CompletableFuture<LogPosition> freshPrimaryPosition(DatabaseId database) {
+  public void askMembers(DatabaseId database) {
     refresh();
-    return CompletableFuture.completedFuture(
-        snapshot.groups().get(database).members().get(0).applied());
   }
 
   @Override
