--- a/proxy/src/test/java/org/oleanderstep/proxy/ProxyFleetTest.java
+++ b/proxy/src/test/java/org/oleanderstep/proxy/ProxyFleetTest.java
@@ -349,6 +349,21 @@
       assertThat(view(control).positionSince(asked)).isEqualTo(Optional.of(new LogPosition(2, 50)));
     }
 
+    // What is left without the primary cannot tell what it has acknowledged.
+    @Test
+    void should_prove_nothing_without_the_primary() throws Exception {
+      ControlPlane control = startWithPrimary();
+      fleet.members.get(0).close();
+      Fleet.await(
+          "loss",
+          Duration.ofSeconds(5),
+          () -> view(control).members().stream().filter(MemberView::reachable).count() == 2);
+      long asked = System.nanoTime();
+      control.askMembers(database);
+      Thread.sleep(1_000);
+      assertThat(view(control).positionSince(asked)).isEqualTo(Optional.empty());
+    }
+
     // An old primary that a proxy reaches alone must not prove anything.
     @Test
     void should_prove_nothing_without_a_majority() throws Exception {
