Let a retried read of an unknown session wait for a proof too

Sessions with a need keep the retry on the primary, where the position of the answer is checked against the need. There is no test of its own for this path; AtMostOnceTest, IsolationTest, UnknownSessionTest, WaitingAndDrainTest and WholePathTest pass.

--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/Execution.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/Execution.java
@@ -91,7 +91,7 @@
       RequestProgress progress,
       boolean onPrimary) {
     LeaseRequest request =
-        kind.writes() || onPrimary
+        kind.writes() || (onPrimary && isKnown(call))
             ? writeRequest(call, true)
             : readRequest(call, call.caller().limited());
     return targets
@@ -103,6 +103,14 @@
             failure -> retryOrFail(call, connection, run, kind, progress, failure));
   }
 
+  /**
+   * Returns whether the session's need tells an older primary's answer apart. Without one, a retry
+   * must wait for a proof as the first attempt did, since the known primary may be a replaced one.
+   */
+  private static boolean isKnown(CallContext call) {
+    return !call.session().need(call.database()).position().equals(LogPosition.START);
+  }
+
   private CompletableFuture<Service.Response> retryOrFail(
       CallContext call,
       CallerConnection connection,
