Move sessions between proxies after a number of calls

The scenarios' operationsBetweenMoves had no effect: the client had no such option, so the process runs had not tried roaming. A connection now moves only in auto-commit mode.

--- a/client/src/main/java/org/oleanderstep/client/OleanderstepHttpClient.java
+++ b/client/src/main/java/org/oleanderstep/client/OleanderstepHttpClient.java
@@ -32,7 +32,9 @@
  * <p>Name this class as {@code httpclient_impl} of the stock Avatica driver; the package page has
  * an example. The URL takes these options in its query part: {@code proxies} lists further proxies
  * as {@code host:port}, {@code timeoutMs} limits each call, and {@code requestIds=always} gives a
- * random request id to each call that may write.
+ * random request id to each call that may write. {@code callsPerProxy} moves the connection to the
+ * next proxy after that many calls, which spreads connections that live long; it is for callers
+ * whose results fit into one answer, since a cursor does not move.
  *
  * <p>The driver sends a change of the commit mode only when it creates or prepares a statement.
  * Call {@code connection.getAutoCommit()} after {@code setAutoCommit(false)} if the transaction
@@ -67,6 +69,7 @@
   private boolean unknownWrite;
   private boolean transactionStarted;
   private boolean transactionLost;
+  private int callsAtProxy;
 
   /** Creates the client of one JDBC connection; called by the driver. */
   public OleanderstepHttpClient(URL url) {
@@ -104,6 +107,7 @@
       }
       Optional<String> requestId = requestId(kind);
       boolean repeatable = kind == CallKind.REPEATABLE || requestId.isPresent();
+      moveIfDue(kind);
       return call(request, kind, requestId, repeatable);
     } finally {
       if (line != null && CallInspector.closesConnection(request)) {
@@ -114,6 +118,15 @@
     }
   }
 
+  private void moveIfDue(CallKind kind) {
+    callsAtProxy++;
+    boolean independent = kind == CallKind.REPEATABLE || kind == CallKind.WRITE;
+    boolean free = independent && inspector.properties().getAutoCommit();
+    if (free && proxies.callsPerProxy() > 0 && callsAtProxy > proxies.callsPerProxy()) {
+      nextProxy();
+    }
+  }
+
   private Optional<byte[]> endOfLostTransaction(CallKind kind) {
     if (kind == CallKind.ROLLBACK) {
       transactionLost = false;
@@ -264,6 +277,7 @@
 
   private void nextProxy() {
     current = (current + 1) % proxies.uris().size();
+    callsAtProxy = 0;
   }
 
   private Map<String, String> headers(Optional<String> requestId, long remainingNanos) {
--- a/client/src/main/java/org/oleanderstep/client/internal/ProxyAddresses.java
+++ b/client/src/main/java/org/oleanderstep/client/internal/ProxyAddresses.java
@@ -16,14 +16,16 @@
  * @param uris one address for each proxy, without a query part
  * @param timeout time that a call may take
  * @param idOnEachWrite whether each call that may write gets a random request id
+ * @param callsPerProxy calls after which the connection moves to the next proxy, zero for none
  */
-public record ProxyAddresses(List<URI> uris, Duration timeout, boolean idOnEachWrite) {
+public record ProxyAddresses(
+    List<URI> uris, Duration timeout, boolean idOnEachWrite, int callsPerProxy) {
 
   private static final Duration DEFAULT_TIMEOUT = Duration.ofSeconds(30);
 
   /**
    * Parses {@code http://host:port/v1/service/database?proxies=host:port,...&timeoutMs=30000
-   * &requestIds=always}.
+   * &requestIds=always&callsPerProxy=1000}.
    */
   public static ProxyAddresses parse(URL url) {
     Map<String, String> options = options(url.getQuery());
@@ -41,8 +43,12 @@
     if (timeout.isNegative() || timeout.isZero()) {
       throw new IllegalArgumentException("timeoutMs must be positive: " + timeout.toMillis());
     }
+    int callsPerProxy = Integer.parseInt(options.getOrDefault("callsPerProxy", "0"));
+    if (callsPerProxy < 0) {
+      throw new IllegalArgumentException("callsPerProxy must not be negative: " + callsPerProxy);
+    }
     return new ProxyAddresses(
-        List.copyOf(uris), timeout, "always".equals(options.get("requestIds")));
+        List.copyOf(uris), timeout, "always".equals(options.get("requestIds")), callsPerProxy);
   }
 
   private static Map<String, String> options(String query) {
--- a/load/src/main/java/org/oleanderstep/load/workload/Workload.java
+++ b/load/src/main/java/org/oleanderstep/load/workload/Workload.java
@@ -31,6 +31,8 @@
 
   private static final RandomGeneratorFactory<RandomGenerator> GENERATORS =
       RandomGeneratorFactory.of("L64X128MixRandom");
+  // Prepare, execute and close of one statement.
+  private static final int CALLS_PER_OPERATION = 3;
   private static final Duration END_LIMIT = Duration.ofSeconds(60);
 
   private final List<Session> sessions;
@@ -58,7 +60,7 @@
       throws SQLException {
     List<String> callers = fleet.proxies().stream().map(ProxyNode::callerAddress).toList();
     Duration deadline = Duration.ofMillis(Durations.toMillis(scenario.getCallerDeadline()));
-    int moves = (int) Math.round(scenario.getOperationsBetweenMoves());
+    int moves = (int) Math.round(scenario.getOperationsBetweenMoves() * CALLS_PER_OPERATION);
     CallerConnections connections = new CallerConnections(callers, deadline, moves);
     createTables(fleet, scenario, connections);
     List<Session> sessions = new ArrayList<>();
