Begin transactions only at a primary of the term that the session has seen

Cause: the choice of a member for a transaction that may write ignored the session's position. A proxy that had not learned of a promotion began it at the replaced primary, and a SELECT in it missed the session's own writes. Ruled out: auto-commit reads, whose answers are compared with the position. The router's new test fails to compile without the change; there is no run of processes that reproduces the fault.

--- a/core/src/main/java/org/oleanderstep/core/routing/StatementRouter.java
+++ b/core/src/main/java/org/oleanderstep/core/routing/StatementRouter.java
@@ -77,12 +77,22 @@
     return routeRead(view, need, rule, arrivedNanos, false, random);
   }
 
-  /** Chooses where a write, or a transaction that may write, goes. */
+  /** Chooses where a write goes that depends on nothing the session has seen. */
   public RouteDecision routeWrite(GroupView view) {
+    return routeWrite(view, LogPosition.START);
+  }
+
+  /**
+   * Chooses where a write, or a transaction that may write, goes.
+   *
+   * @param floor position that the session has seen; a primary of an earlier term has been
+   *     replaced, and a transaction there would read data from before the session's own writes
+   */
+  public RouteDecision routeWrite(GroupView view, LogPosition floor) {
     if (view.members().isEmpty()) {
       return new RouteDecision.Refuse(NotRunReason.NO_PRIMARY);
     }
-    return runOnPrimary(view, LogPosition.START);
+    return runOnPrimary(view, floor);
   }
 
   private RouteDecision routeRead(
--- a/core/src/test/java/org/oleanderstep/core/routing/StatementRouterTest.java
+++ b/core/src/test/java/org/oleanderstep/core/routing/StatementRouterTest.java
@@ -142,4 +142,13 @@
     assertThat(router.routeWrite(view()))
         .isEqualTo(new RouteDecision.Refuse(NotRunReason.NO_PRIMARY));
   }
+
+  // A transaction reads at the primary; one of an earlier term lacks the session's own writes.
+  @Test
+  void should_not_begin_a_transaction_at_a_primary_of_an_earlier_term_than_the_session_has_seen() {
+    GroupView view = view(member(A, 9, 0), member(B, 9, 0));
+    assertThat(router.routeWrite(view, new LogPosition(4, 1)))
+        .isEqualTo(new RouteDecision.WaitForPrimary());
+    assertThat(router.routeWrite(view, at(7))).isEqualTo(run(A, 7));
+  }
 }
--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/Execution.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/Execution.java
@@ -146,6 +146,7 @@
     return LeaseRequest.write(
         call.caller().organisation(),
         counts && call.caller().limited(),
+        call.session().need(call.database()).position(),
         call.call().deadlineNanos(),
         call.call().callerGone());
   }
--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/target/DatabaseTraffic.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/target/DatabaseTraffic.java
@@ -147,7 +147,7 @@
 
   private RouteDecision decide(LeaseRequest request, GroupView view) {
     if (request.need().isEmpty()) {
-      return router.routeWrite(view);
+      return router.routeWrite(view, request.floor());
     }
     RandomGenerator random = ThreadLocalRandom.current();
     return request.waited()
--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/target/LeaseRequest.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/target/LeaseRequest.java
@@ -29,6 +29,7 @@
   private volatile boolean waited;
   private volatile long term;
   private volatile LogPosition atLeast = LogPosition.START;
+  private volatile LogPosition floor = LogPosition.START;
   private volatile String incarnation = "";
   private volatile TrafficMetrics.Wait wait = TrafficMetrics.Wait.QUEUE;
 
@@ -72,6 +73,7 @@
     LeaseRequest next =
         new LeaseRequest(
             organisation, limited, need, rule, deadlineNanos, callerGone, arrivedNanos);
+    next.floor = floor;
     next.admitted = admitted;
     next.waited = true;
     next.wait = wait;
@@ -82,20 +84,30 @@
    * Returns a request for the primary.
    *
    * @param limited whether the organisation's rate counts
+   * @param floor position that the session has seen; {@link LogPosition#START} if none
    */
   public static LeaseRequest write(
       OrganisationId organisation,
       boolean limited,
+      LogPosition floor,
       long deadlineNanos,
       BooleanSupplier callerGone) {
-    return new LeaseRequest(
-        organisation,
-        limited,
-        Optional.empty(),
-        ReadRule.SESSION,
-        deadlineNanos,
-        callerGone,
-        System.nanoTime());
+    LeaseRequest request =
+        new LeaseRequest(
+            organisation,
+            limited,
+            Optional.empty(),
+            ReadRule.SESSION,
+            deadlineNanos,
+            callerGone,
+            System.nanoTime());
+    request.floor = floor;
+    return request;
+  }
+
+  /** Returns the position that the session of a write has seen. */
+  LogPosition floor() {
+    return floor;
   }
 
   OrganisationId organisation() {
--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/target/RequestPurge.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/target/RequestPurge.java
@@ -9,6 +9,7 @@
 import org.apache.logging.log4j.Logger;
 import org.oleanderstep.core.model.DatabaseId;
 import org.oleanderstep.core.model.OrganisationId;
+import org.oleanderstep.core.position.LogPosition;
 
 /** Removes old request ids in small batches. */
 public final class RequestPurge {
@@ -32,7 +33,12 @@
   public CompletableFuture<Integer> run(DatabaseId database, Duration retention) {
     Instant before = wallClock.instant().minus(retention);
     LeaseRequest request =
-        LeaseRequest.write(MAINTENANCE, false, System.nanoTime() + LIMIT.toNanos(), () -> false);
+        LeaseRequest.write(
+            MAINTENANCE,
+            false,
+            LogPosition.START,
+            System.nanoTime() + LIMIT.toNanos(),
+            () -> false);
     return targets.run(database, request, lease -> purge(lease, before));
   }
 
--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/target/Targets.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/target/Targets.java
@@ -14,7 +14,7 @@
  * Gives out connections to the members of all databases.
  *
  * <pre>{@code
- * targets.run(database, LeaseRequest.write(organisation, true, deadline, callerGone), this::update);
+ * targets.run(database, LeaseRequest.write(organisation, true, floor, deadline, callerGone), this::update);
  * }</pre>
  */
 public final class Targets implements AutoCloseable {
