Divide rates by demand and refuse at once what no token can admit in time

With some room for chance every VM was short of every rate, and a short VM could claim no more than an equal part.

Ruled out: the limits (demand 0.62 of the rates); lost claims alone (one of six VMs was gone, which leaves 1.3 times the demand).

Waiting operations form one queue for each organisation, by priority and arrival; one that can't get a token in time is refused at once.

The two new tests of the planner failed before (32 of 42 operations; a lost VM's part was divided).

--- a/core/src/main/java/org/oleanderstep/core/admission/RateClaimPlanner.java
+++ b/core/src/main/java/org/oleanderstep/core/admission/RateClaimPlanner.java
@@ -1,7 +1,6 @@
 package org.oleanderstep.core.admission;
 
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
 import org.oleanderstep.core.model.OrganisationId;
@@ -11,13 +10,12 @@
  * Decides which part of each organisation's rate a VM claims.
  *
  * <pre>{@code
- * RateClaims next = planner.plan(claims, demand, limits, vms);
+ * RateClaims next = planner.plan(claims, demand, limits, new Vms(known, live));
  * }</pre>
  *
- * <p>Answers a load that is spread unevenly over the VMs and moves between them: a VM takes what it
- * needs, with room for variation, from what is free. If that is too little it marks the shortage,
- * and the others give up what they don't need. A VM changes only its own claims, except for those
- * of VMs that are gone.
+ * <p>Answers a load that is spread unevenly over the VMs and moves between them, also while callers
+ * ask for more than the whole rate: each VM says what its callers ask for, and the rate is divided
+ * in proportion to that. A VM changes only its own claims, except for those of VMs that are gone.
  */
 public final class RateClaimPlanner {
 
@@ -26,25 +24,29 @@
 
   private static final double DEVIATIONS = 2;
 
-  /** A claim with less room than this is short. */
-  private static final double LEAST_HEADROOM = 1.1;
-
-  private static final double LEAST_DEVIATIONS = 1;
-
-  /** A claim is lowered when it is this many times what is wanted, and another VM is short. */
-  private static final double EXCESS = 1.2;
-
-  /** Part of an equal share that a VM claims at first. */
-  private static final double FIRST_OF_EQUAL_SHARE = 0.85;
-
-  /** Part of an equal share that a VM keeps without any demand. */
+  /** Part of an equal share that counts as wanted without any demand. */
   private static final double LEAST_OF_EQUAL_SHARE = 0.35;
 
-  /** Part of what exceeds an equal share that a VM gives to one that is short, at each step. */
-  private static final double GIVEN_WHEN_SHORT = 0.25;
+  /** Part of a claim by which it may differ from its due part; each change costs a call. */
+  private static final double TOLERATED_DIFFERENCE = 0.12;
 
   private static final double SMALLEST_CHANGE = 0.01;
 
+  /**
+   * The VMs that share the rates.
+   *
+   * @param known those that may still use their claims
+   * @param live those that take part in the division, a part of the known ones
+   */
+  public record Vms(Set<VmId> known, Set<VmId> live) {
+
+    /** Copies the sets. */
+    public Vms {
+      known = Set.copyOf(known);
+      live = Set.copyOf(live);
+    }
+  }
+
   private final VmId self;
 
   /** Creates the planner of a VM. */
@@ -56,71 +58,68 @@
    * Returns the claims that the VM wants; equal to those given if nothing is to change.
    *
    * @param demand operations a second that callers ask of this VM
-   * @param vms the VMs that take part, with this one
    */
   public RateClaims plan(
       RateClaims claims,
       Map<OrganisationId, Double> demand,
       Map<OrganisationId, RateShares.Limit> limits,
-      Set<VmId> vms) {
-    RateClaims valid = claims.only(limits.keySet(), vms);
+      Vms vms) {
+    RateClaims valid = claims.only(limits.keySet(), vms.known());
     Map<OrganisationId, Double> own = new HashMap<>();
-    Set<OrganisationId> shortOf = new HashSet<>();
+    Map<OrganisationId, Double> stated = new HashMap<>();
     limits.forEach(
         (organisation, limit) -> {
-          double asked = demand.getOrDefault(organisation, 0.0);
-          double part = claim(valid, organisation, asked, limit, vms.size());
-          own.put(organisation, part);
-          if (part + SMALLEST_CHANGE < least(asked, limit, vms.size())) {
-            shortOf.add(organisation);
-          }
+          double asked = state(valid, organisation, demand, limit);
+          stated.put(organisation, asked);
+          double due = due(valid, organisation, asked, limit, vms.live());
+          own.put(organisation, claim(valid, organisation, due));
         });
-    return valid.with(self, own, shortOf);
+    return valid.with(self, own, stated);
   }
 
-  private double claim(
+  /** Returns the demand to publish; a small difference to the published one is not worth a call. */
+  private double state(
       RateClaims claims,
       OrganisationId organisation,
-      double asked,
-      RateShares.Limit limit,
-      int vms) {
-    double held = claims.of(organisation, self);
-    double free = claims.free(organisation);
-    double equal = 1.0 / vms;
-    double wanted = wanted(asked, limit, vms);
-    if (held <= 0) {
-      return Math.min(free, Math.max(wanted, equal * FIRST_OF_EQUAL_SHARE));
-    }
-    boolean shared = claims.isShortElsewhere(organisation, self);
-    if (shared && held > Math.min(wanted, equal) * EXCESS) {
-      return lowered(held, wanted, equal);
-    }
-    if (held >= least(asked, limit, vms)) {
-      return held;
-    }
-    double most = shared ? Math.min(wanted, equal) : wanted;
-    double raised = Math.min(most, held + free);
-    return raised > held + SMALLEST_CHANGE ? raised : held;
+      Map<OrganisationId, Double> demand,
+      RateShares.Limit limit) {
+    double asked = demand.getOrDefault(organisation, 0.0);
+    double published = claims.demandOf(organisation, self);
+    double difference = Math.abs(room(asked) - room(published));
+    double tolerated =
+        Math.max(limit.ratePerSecond() * SMALLEST_CHANGE, room(published) * TOLERATED_DIFFERENCE);
+    return difference > tolerated ? asked : published;
   }
 
-  private static double lowered(double held, double wanted, double equal) {
-    if (held > wanted * EXCESS) {
-      return wanted;
-    }
-    return held - (held - equal) * GIVEN_WHEN_SHORT;
+  private double claim(RateClaims claims, OrganisationId organisation, double due) {
+    double held = claims.of(organisation, self);
+    double possible = Math.min(due, held + claims.free(organisation));
+    double tolerated = Math.max(SMALLEST_CHANGE, held * TOLERATED_DIFFERENCE);
+    return Math.abs(possible - held) > tolerated ? possible : held;
   }
 
-  private static double wanted(double asked, RateShares.Limit limit, int vms) {
-    return part(asked * HEADROOM + DEVIATIONS * Math.sqrt(asked), limit, vms);
+  /** Returns the part that this VM is due of what VMs that are not live leave over. */
+  private double due(
+      RateClaims claims,
+      OrganisationId organisation,
+      double asked,
+      RateShares.Limit limit,
+      Set<VmId> live) {
+    double all = 0;
+    double available = claims.free(organisation);
+    for (VmId vm : live) {
+      all += weight(vm.equals(self) ? asked : claims.demandOf(organisation, vm), limit, live);
+      available += claims.of(organisation, vm);
+    }
+    return Math.min(1, available) * weight(asked, limit, live) / all;
   }
 
-  private static double least(double asked, RateShares.Limit limit, int vms) {
-    return part(asked * LEAST_HEADROOM + LEAST_DEVIATIONS * Math.sqrt(asked), limit, vms);
+  private static double weight(double asked, RateShares.Limit limit, Set<VmId> live) {
+    double least = LEAST_OF_EQUAL_SHARE * limit.ratePerSecond() / live.size();
+    return Math.max(Math.max(least, Double.MIN_NORMAL), room(asked));
   }
 
-  private static double part(double operations, RateShares.Limit limit, int vms) {
-    double least = LEAST_OF_EQUAL_SHARE / vms;
-    double part = limit.ratePerSecond() > 0 ? operations / limit.ratePerSecond() : 0;
-    return Math.min(1, Math.max(least, part));
+  private static double room(double asked) {
+    return asked * HEADROOM + DEVIATIONS * Math.sqrt(asked);
   }
 }
--- a/core/src/main/java/org/oleanderstep/core/admission/RateClaims.java
+++ b/core/src/main/java/org/oleanderstep/core/admission/RateClaims.java
@@ -1,7 +1,6 @@
 package org.oleanderstep.core.admission;
 
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
 import org.oleanderstep.core.model.OrganisationId;
@@ -14,10 +13,10 @@
  * never add up to more than one.
  *
  * @param parts by organisation and VM, each from 0 to 1
- * @param shortages the VMs that need more of an organisation's rate than is free
+ * @param demand operations a second that callers ask of each VM, by organisation and VM
  */
 public record RateClaims(
-    Map<OrganisationId, Map<VmId, Double>> parts, Map<OrganisationId, Set<VmId>> shortages) {
+    Map<OrganisationId, Map<VmId, Double>> parts, Map<OrganisationId, Map<VmId, Double>> demand) {
 
   /** Nothing is claimed. */
   public static final RateClaims NONE = new RateClaims(Map.of(), Map.of());
@@ -25,12 +24,22 @@
   /** Copies the maps. */
   public RateClaims {
     parts = Map.copyOf(parts);
-    shortages = Map.copyOf(shortages);
+    demand = Map.copyOf(demand);
+  }
+
+  private static double get(
+      Map<OrganisationId, Map<VmId, Double>> table, OrganisationId organisation, VmId vm) {
+    return table.getOrDefault(organisation, Map.of()).getOrDefault(vm, 0.0);
   }
 
   /** Returns the part of a VM. */
   public double of(OrganisationId organisation, VmId vm) {
-    return parts.getOrDefault(organisation, Map.of()).getOrDefault(vm, 0.0);
+    return get(parts, organisation, vm);
+  }
+
+  /** Returns the operations a second that callers ask of a VM, as it last said. */
+  double demandOf(OrganisationId organisation, VmId vm) {
+    return get(demand, organisation, vm);
   }
 
   /** Returns the part that no VM claims. */
@@ -49,45 +58,36 @@
     return own;
   }
 
-  /** Returns whether another VM needs more than is free. */
-  boolean isShortElsewhere(OrganisationId organisation, VmId self) {
-    return shortages.getOrDefault(organisation, Set.of()).stream().anyMatch(vm -> !vm.equals(self));
+  /** Returns these claims with another claim and demand of one VM. */
+  RateClaims with(VmId vm, Map<OrganisationId, Double> own, Map<OrganisationId, Double> asked) {
+    return new RateClaims(replace(parts, vm, own), replace(demand, vm, asked));
   }
 
-  /** Returns these claims with another claim of one VM. */
-  RateClaims with(VmId vm, Map<OrganisationId, Double> own, Set<OrganisationId> shortOf) {
+  private static Map<OrganisationId, Map<VmId, Double>> replace(
+      Map<OrganisationId, Map<VmId, Double>> table, VmId vm, Map<OrganisationId, Double> values) {
     Map<OrganisationId, Map<VmId, Double>> changed = new HashMap<>();
-    parts.forEach((organisation, vms) -> changed.put(organisation, new HashMap<>(vms)));
-    Map<OrganisationId, Set<VmId>> marked = new HashMap<>();
-    own.forEach(
-        (organisation, part) -> {
-          changed.computeIfAbsent(organisation, o -> new HashMap<>()).put(vm, part);
-          Set<VmId> vms = new HashSet<>(shortages.getOrDefault(organisation, Set.of()));
-          vms.remove(vm);
-          if (shortOf.contains(organisation)) {
-            vms.add(vm);
-          }
-          if (!vms.isEmpty()) {
-            marked.put(organisation, vms);
-          }
-        });
-    return new RateClaims(changed, marked);
+    table.forEach((organisation, vms) -> changed.put(organisation, new HashMap<>(vms)));
+    values.forEach(
+        (organisation, value) ->
+            changed.computeIfAbsent(organisation, o -> new HashMap<>()).put(vm, value));
+    return changed;
   }
 
   /** Returns these claims without those of VMs and organisations that are gone. */
   RateClaims only(Set<OrganisationId> organisations, Set<VmId> vms) {
+    return new RateClaims(only(parts, organisations, vms), only(demand, organisations, vms));
+  }
+
+  private static Map<OrganisationId, Map<VmId, Double>> only(
+      Map<OrganisationId, Map<VmId, Double>> table,
+      Set<OrganisationId> organisations,
+      Set<VmId> vms) {
     Map<OrganisationId, Map<VmId, Double>> kept = new HashMap<>();
-    Map<OrganisationId, Set<VmId>> marked = new HashMap<>();
     for (OrganisationId organisation : organisations) {
-      Map<VmId, Double> claims = new HashMap<>(parts.getOrDefault(organisation, Map.of()));
-      claims.keySet().retainAll(vms);
-      kept.put(organisation, claims);
-      Set<VmId> shortVms = new HashSet<>(shortages.getOrDefault(organisation, Set.of()));
-      shortVms.retainAll(vms);
-      if (!shortVms.isEmpty()) {
-        marked.put(organisation, shortVms);
-      }
+      Map<VmId, Double> values = new HashMap<>(table.getOrDefault(organisation, Map.of()));
+      values.keySet().retainAll(vms);
+      kept.put(organisation, values);
     }
-    return new RateClaims(kept, marked);
+    return kept;
   }
 }
--- a/core/src/main/java/org/oleanderstep/core/admission/RateShares.java
+++ b/core/src/main/java/org/oleanderstep/core/admission/RateShares.java
@@ -1,5 +1,6 @@
 package org.oleanderstep.core.admission;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
 import org.oleanderstep.core.model.OrganisationId;
@@ -42,6 +43,8 @@
   /** Operations that a process may admit at once after its start. */
   private static final double FIRST_TOKENS = 3;
 
+  private static final Duration NEVER = Duration.ofNanos(Long.MAX_VALUE);
+
   private record Share(Limit limit, double part, TokenBucket bucket, boolean everOpen) {}
 
   private final Map<OrganisationId, Share> shares = new HashMap<>();
@@ -83,6 +86,15 @@
     return share != null && share.bucket.tryTake(now);
   }
 
+  /**
+   * Returns how long it takes until an organisation has a number of tokens on this VM, if it uses
+   * none meanwhile; centuries if it has no share.
+   */
+  public Duration timeUntil(OrganisationId organisation, int tokens, long now) {
+    Share share = shares.get(organisation);
+    return share == null ? NEVER : Duration.ofNanos(share.bucket.nanosUntil(tokens, now));
+  }
+
   /** Returns the tokens that an organisation has on this VM. */
   public double tokens(OrganisationId organisation, long now) {
     Share share = shares.get(organisation);
--- a/core/src/main/java/org/oleanderstep/core/admission/TokenBucket.java
+++ b/core/src/main/java/org/oleanderstep/core/admission/TokenBucket.java
@@ -80,6 +80,15 @@
     return held == SEALED ? 0 : (double) Math.max(0, now - clamp(held, now)) / tokenNanos;
   }
 
+  /** Returns the nanoseconds until a number of tokens will have accrued, if none is taken. */
+  long nanosUntil(int tokens, long now) {
+    long held = emptyAt.get();
+    if (held == SEALED || tokenNanos > MAX_SPAN / Math.max(1, tokens)) {
+      return MAX_SPAN;
+    }
+    return Math.max(0, tokenNanos * tokens - (now - clamp(held, now)));
+  }
+
   /** Takes exactly an amount if it is there. */
   boolean tryTake(double amount, long now) {
     long span = (long) Math.min((double) MAX_SPAN, Math.ceil(amount * tokenNanos));
--- a/core/src/test/java/org/oleanderstep/core/admission/RateClaimPlannerTest.java
+++ b/core/src/test/java/org/oleanderstep/core/admission/RateClaimPlannerTest.java
@@ -34,7 +34,9 @@
   }
 
   private void plan(VmId vm, double demand, Set<VmId> vms) {
-    claims = new RateClaimPlanner(vm).plan(claims, Map.of(SHOP, demand), LIMITS, vms);
+    claims =
+        new RateClaimPlanner(vm)
+            .plan(claims, Map.of(SHOP, demand), LIMITS, new RateClaimPlanner.Vms(vms, vms));
   }
 
   private double part(int vm) {
@@ -121,6 +123,47 @@
     assertThat(total()).isAtMost(1 + TOLERANCE);
   }
 
+  // The load: every VM would like some room, and one has half of the callers. Equal parts refuse
+  // half of them while the other VMs leave most of their parts unused.
+  @Test
+  void should_divide_by_demand_while_nothing_is_free() {
+    Map<VmId, Double> demand = new HashMap<>();
+    VMS.forEach(vm -> demand.put(vm, 8.0));
+    demand.put(VMS.get(1), 40.0);
+    rounds(3, Map.of());
+
+    rounds(6, demand);
+
+    assertThat(part(1) * RATE).isAtLeast(42.0);
+    for (int other : new int[] {0, 2, 3, 4}) {
+      assertThat(part(other) * RATE).isAtLeast(8.0);
+    }
+    assertThat(total()).isAtMost(1 + TOLERANCE);
+  }
+
+  // The claims of a lost VM can't be used by others yet; what is left is divided among the live.
+  @Test
+  void should_divide_what_a_lost_vm_leaves_over() {
+    rounds(3, Map.of());
+    Set<VmId> live = new LinkedHashSet<>(VMS.subList(0, 4));
+    Map<VmId, Double> demand = Map.of(VMS.get(0), 60.0);
+    for (int i = 0; i < 5; i++) {
+      for (VmId vm : live) {
+        claims =
+            new RateClaimPlanner(vm)
+                .plan(
+                    claims,
+                    Map.of(SHOP, demand.getOrDefault(vm, 5.0)),
+                    LIMITS,
+                    new RateClaimPlanner.Vms(ALL, live));
+      }
+    }
+
+    assertThat(part(4)).isWithin(TOLERANCE).of(0.2);
+    assertThat(part(0) * RATE).isAtLeast(50.0);
+    assertThat(total()).isAtMost(1 + TOLERANCE);
+  }
+
   @Test
   void should_free_the_claims_of_vms_that_are_gone() {
     rounds(3, Map.of());
--- a/gateway/src/main/java/org/oleanderstep/gateway/Gateway.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/Gateway.java
@@ -18,6 +18,7 @@
 import org.oleanderstep.gateway.control.GatewayConfiguration;
 import org.oleanderstep.gateway.control.TargetMember;
 import org.oleanderstep.gateway.log.DecisionLog;
+import org.oleanderstep.gateway.session.AdmissionQueues;
 import org.oleanderstep.gateway.session.CallerChannel;
 import org.oleanderstep.gateway.session.Session;
 import org.oleanderstep.gateway.session.SessionEnvironment;
@@ -60,6 +61,7 @@
   private Map<OrganisationId, Double> parts = Map.of();
   private Map<OrganisationId, Double> demand = Map.of();
   private final DemandMeter meter;
+  private final AdmissionQueues admission;
   private long meterRolledAt;
   private int vms = 1;
 
@@ -77,6 +79,7 @@
     this.metrics = metrics;
     meterRolledAt = clock.read().steadyNanos();
     meter = new DemandMeter(meterRolledAt);
+    admission = new AdmissionQueues(rates, meter);
   }
 
   /** Puts a configuration into force; an older version than the one in force is ignored. */
@@ -186,6 +189,7 @@
       meterRolledAt = now;
       demand = meter.roll(now);
     }
+    admission.tick(now);
     services.values().forEach(ServiceTraffic::tick);
     List.copyOf(sessions).forEach(session -> session.tick(now));
   }
@@ -196,13 +200,8 @@
   }
 
   @Override
-  public void recordDemand(OrganisationId organisation) {
-    meter.record(organisation);
-  }
-
-  @Override
-  public boolean tryAdmit(OrganisationId organisation) {
-    return rates.tryAcquire(organisation, clock.read().steadyNanos());
+  public AdmissionQueues admission() {
+    return admission;
   }
 
   @Override
--- a/gateway/src/main/java/org/oleanderstep/gateway/session/AdmissionTask.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/session/AdmissionTask.java
@@ -2,13 +2,9 @@
 
 import java.time.Duration;
 import org.oleanderstep.core.model.OrganisationId;
+import org.oleanderstep.gateway.control.GatewayRoute;
 
-/**
- * Waits for a token of an organisation's rate.
- *
- * <p>Answers a load that comes in bunches: a short wait costs a caller less than a refusal and a
- * new try. What is far over the rate is refused soon.
- */
+/** One operation that needs a token of its organisation's rate before it may run. */
 final class AdmissionTask implements StatementTask {
 
   /** Part of the route's target latency that may be spent here. */
@@ -16,52 +12,62 @@
 
   private final SessionEnvironment environment;
   private final OrganisationId organisation;
+  private final GatewayRoute route;
   private final Runnable onAdmitted;
   private final Runnable onRefused;
   private final long giveUpAt;
-  private boolean done;
 
   AdmissionTask(
       SessionEnvironment environment,
       OrganisationId organisation,
-      Duration targetLatency,
+      GatewayRoute route,
       Runnable onAdmitted,
       Runnable onRefused) {
     this.environment = environment;
     this.organisation = organisation;
+    this.route = route;
     this.onAdmitted = onAdmitted;
     this.onRefused = onRefused;
-    long now = environment.clock().read().steadyNanos();
-    giveUpAt = now + (long) (targetLatency.toNanos() * WAITING_PART);
+    giveUpAt = now() + (long) (route.targetLatency().toNanos() * WAITING_PART);
   }
 
-  @Override
-  public void start() {
-    environment.recordDemand(organisation);
-    tryAdmit();
+  private long now() {
+    return environment.clock().read().steadyNanos();
+  }
+
+  OrganisationId organisation() {
+    return organisation;
+  }
+
+  int priority() {
+    return route.priority();
+  }
+
+  /** Returns how long it may go on waiting; negative if it has waited for too long. */
+  Duration patience(long now) {
+    return Duration.ofNanos(giveUpAt - now);
+  }
+
+  void admit() {
+    onAdmitted.run();
   }
 
-  private void tryAdmit() {
-    if (environment.tryAdmit(organisation)) {
-      done = true;
-      onAdmitted.run();
-    }
+  void refuse() {
+    onRefused.run();
+  }
+
+  @Override
+  public void start() {
+    environment.admission().submit(this, now());
   }
 
   @Override
   public void tick(long now) {
-    if (done) {
-      return;
-    }
-    tryAdmit();
-    if (!done && now - giveUpAt >= 0) {
-      done = true;
-      onRefused.run();
-    }
+    // The queue ends the wait.
   }
 
   @Override
   public void abandon() {
-    done = true;
+    environment.admission().cancel(this);
   }
 }
--- a/gateway/src/main/java/org/oleanderstep/gateway/session/Session.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/session/Session.java
@@ -270,7 +270,7 @@
         new AdmissionTask(
             environment,
             organisation.get(),
-            route.targetLatency(),
+            route,
             () -> onAdmitted.accept(route, service.get()),
             () -> refuseRate(organisation.get()));
     task = Optional.of(waiting);
--- a/gateway/src/main/java/org/oleanderstep/gateway/session/SessionEnvironment.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/session/SessionEnvironment.java
@@ -13,11 +13,8 @@
   /** Returns the configuration in force. */
   GatewayConfiguration configuration();
 
-  /** Counts an operation that an organisation asks for. */
-  void recordDemand(OrganisationId organisation);
-
-  /** Takes one operation from an organisation's rate on this VM; false if none is left. */
-  boolean tryAdmit(OrganisationId organisation);
+  /** Returns the operations that wait for a token of their organisation's rate. */
+  AdmissionQueues admission();
 
   /** Describes what an organisation may use of its rate on this VM. */
   String describeRate(OrganisationId organisation);
--- /dev/null
+++ b/gateway/src/test/java/org/oleanderstep/gateway/session/AdmissionQueuesTest.java
@@ -0,0 +1,110 @@
+package org.oleanderstep.gateway.session;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.oleanderstep.gateway.GatewayFixture.PRIMARY_DATABASE;
+import static org.oleanderstep.gateway.GatewayFixture.SHOP;
+import static org.oleanderstep.gateway.GatewayFixture.SHOP_KEY;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.oleanderstep.gateway.FakeCaller;
+import org.oleanderstep.gateway.Gateway;
+import org.oleanderstep.gateway.GatewayFixture;
+
+/** Callers that ask for more than their organisation's rate allows at the moment. */
+class AdmissionQueuesTest {
+
+  /** One token every 20 ms; a route with a target of 200 ms lets an operation wait for 80 ms. */
+  private static final double RATE = 50;
+
+  private final GatewayFixture fixture = new GatewayFixture();
+
+  @BeforeEach
+  void useUpTheBurst() {
+    // An operation before the change opens a connection that the later ones use.
+    open().read();
+    fixture.setRate(RATE);
+    fixture.gateway.updateParts(Map.of(SHOP, 1.0));
+    fixture.pass(Duration.ofSeconds(2));
+    FakeCaller caller = open();
+    for (int i = 0; i < RATE; i++) {
+      caller.read();
+    }
+  }
+
+  private FakeCaller open() {
+    return fixture.open(PRIMARY_DATABASE, SHOP_KEY);
+  }
+
+  private List<FakeCaller> callers(int count) {
+    List<FakeCaller> callers = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      callers.add(open());
+    }
+    callers.forEach(caller -> caller.send(StatementKind.READ, "READ item"));
+    return callers;
+  }
+
+  private static long answered(List<FakeCaller> callers) {
+    return callers.stream().filter(caller -> !caller.answers.isEmpty()).count();
+  }
+
+  private static long refused(List<FakeCaller> callers) {
+    return callers.stream()
+        .filter(caller -> !caller.answers.isEmpty())
+        .filter(caller -> caller.last() instanceof Answer.Failure)
+        .count();
+  }
+
+  private long reads() {
+    return fixture.first.ran.stream().filter(text -> text.startsWith("READ")).count();
+  }
+
+  // Guards against callers that are held back although no token can be theirs in time.
+  @Test
+  void should_refuse_at_once_what_can_not_be_admitted_in_time() {
+    List<FakeCaller> callers = callers(10);
+
+    assertThat(refused(callers)).isAtLeast(6);
+    assertThat(answered(callers)).isEqualTo(refused(callers));
+  }
+
+  // The load: a few operations more than there are tokens, in one bunch.
+  @Test
+  void should_admit_a_small_bunch_after_a_short_wait() {
+    List<FakeCaller> callers = callers(3);
+
+    fixture.pass(Duration.ofMillis(100));
+
+    assertThat(answered(callers)).isEqualTo(3);
+    assertThat(refused(callers)).isEqualTo(0);
+  }
+
+  @Test
+  void should_admit_in_the_order_of_arrival() {
+    List<FakeCaller> callers = callers(3);
+
+    while (answered(callers) == 0) {
+      fixture.pass(Gateway.TICK);
+    }
+
+    assertThat(callers.get(0).answers).isNotEmpty();
+  }
+
+  // A token that goes to a caller who has left is lost for the others.
+  @Test
+  void should_not_give_a_token_to_a_caller_that_has_left() {
+    List<FakeCaller> callers = callers(2);
+    long before = reads();
+
+    callers.get(0).leave();
+    fixture.pass(Duration.ofMillis(100));
+
+    assertThat(reads() - before).isEqualTo(1);
+    assertThat(refused(callers.subList(1, 2))).isEqualTo(0);
+  }
+}
