--- a/core/src/main/java/org/oleanderstep/core/admission/RateClaimPlanner.java
+++ b/core/src/main/java/org/oleanderstep/core/admission/RateClaimPlanner.java
@@ -1,8 +1,9 @@
 package org.oleanderstep.core.admission;
 
-import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
+import org.oleanderstep.core.membership.RendezvousHash;
 import org.oleanderstep.core.model.OrganisationId;
 import org.oleanderstep.core.model.VmId;
 
@@ -15,7 +16,9 @@
  *
  * <p>Answers a load that is spread unevenly over the VMs and moves between them, also while callers
  * ask for more than the whole rate: each VM says what its callers ask for, and the rate is divided
- * in proportion to that. A VM changes only its own claims, except for those of VMs that are gone.
+ * in proportion to that. A rate that is too small for that, or one of many VMs, is divided equally
+ * over a few VMs, from which the others borrow. A VM changes only its own claims, except for those
+ * of VMs that are gone and for rates that nobody claims yet.
  */
 public final class RateClaimPlanner {
 
@@ -32,6 +35,12 @@
 
   private static final double SMALLEST_CHANGE = 0.01;
 
+  /** Operations of burst that a VM must be able to hold for a part to be of use. */
+  private static final double LEAST_BURST = 4;
+
+  /** Each VM that publishes its demand changes the object for all; more of them borrow instead. */
+  private static final int MOST_VMS_BY_DEMAND = 8;
+
   /**
    * The VMs that share the rates.
    *
@@ -64,26 +73,55 @@
       Map<OrganisationId, Double> demand,
       Map<OrganisationId, RateShares.Limit> limits,
       Vms vms) {
-    RateClaims valid = claims.only(limits.keySet(), vms.known());
-    Map<OrganisationId, Double> own = new HashMap<>();
-    Map<OrganisationId, Double> stated = new HashMap<>();
-    limits.forEach(
-        (organisation, limit) -> {
-          double asked = state(valid, organisation, demand, limit);
-          stated.put(organisation, asked);
-          double due = due(valid, organisation, asked, limit, vms.live());
-          own.put(organisation, claim(valid, organisation, due));
-        });
-    return valid.with(self, own, stated);
+    RateClaims next = claims.only(limits.keySet(), vms.known());
+    for (Map.Entry<OrganisationId, RateShares.Limit> each : limits.entrySet()) {
+      double asked = demand.getOrDefault(each.getKey(), 0.0);
+      next = plan(next, each.getKey(), asked, each.getValue(), vms.live());
+    }
+    return next;
   }
 
-  /** Returns the demand to publish; a small difference to the published one is not worth a call. */
-  private double state(
+  private RateClaims plan(
       RateClaims claims,
       OrganisationId organisation,
-      Map<OrganisationId, Double> demand,
-      RateShares.Limit limit) {
-    double asked = demand.getOrDefault(organisation, 0.0);
+      double asked,
+      RateShares.Limit limit,
+      Set<VmId> live) {
+    int holders = holders(limit, live.size());
+    if (holders == live.size() && holders <= MOST_VMS_BY_DEMAND) {
+      double stated = state(claims, organisation, asked, limit);
+      double due = dueByDemand(claims, organisation, stated, limit, live);
+      return claims
+          .withDemand(organisation, self, stated)
+          .withPart(organisation, self, claim(claims, organisation, due));
+    }
+    Set<VmId> chosen = choose(organisation, live, holders);
+    if (claims.parts().get(organisation).isEmpty()) {
+      return claims.withEqualParts(organisation, chosen);
+    }
+    double due = chosen.contains(self) ? available(claims, organisation, live) / holders : 0;
+    return claims.withPart(organisation, self, claim(claims, organisation, due));
+  }
+
+  private static int holders(RateShares.Limit limit, int vms) {
+    return (int) Math.max(1, Math.min(vms, limit.burst() / LEAST_BURST));
+  }
+
+  /** Every VM makes the same choice, and the loss of one VM changes only its own place. */
+  private static Set<VmId> choose(OrganisationId organisation, Set<VmId> live, int holders) {
+    return live.stream()
+        .sorted(
+            (a, b) ->
+                Long.compareUnsigned(
+                    RendezvousHash.weight(organisation.name(), b.name()),
+                    RendezvousHash.weight(organisation.name(), a.name())))
+        .limit(holders)
+        .collect(Collectors.toSet());
+  }
+
+  /** Returns the demand to publish; a small difference to the published one is not worth a call. */
+  private double state(
+      RateClaims claims, OrganisationId organisation, double asked, RateShares.Limit limit) {
     double published = claims.demandOf(organisation, self);
     double difference = Math.abs(room(asked) - room(published));
     double tolerated =
@@ -98,20 +136,26 @@
     return Math.abs(possible - held) > tolerated ? possible : held;
   }
 
-  /** Returns the part that this VM is due of what VMs that are not live leave over. */
-  private double due(
+  private double dueByDemand(
       RateClaims claims,
       OrganisationId organisation,
       double asked,
       RateShares.Limit limit,
       Set<VmId> live) {
     double all = 0;
-    double available = claims.free(organisation);
     for (VmId vm : live) {
       all += weight(vm.equals(self) ? asked : claims.demandOf(organisation, vm), limit, live);
+    }
+    return available(claims, organisation, live) * weight(asked, limit, live) / all;
+  }
+
+  /** Returns what VMs that are not live leave over. */
+  private static double available(RateClaims claims, OrganisationId organisation, Set<VmId> live) {
+    double available = claims.free(organisation);
+    for (VmId vm : live) {
       available += claims.of(organisation, vm);
     }
-    return Math.min(1, available) * weight(asked, limit, live) / all;
+    return Math.min(1, available);
   }
 
   private static double weight(double asked, RateShares.Limit limit, Set<VmId> live) {
--- a/core/src/main/java/org/oleanderstep/core/admission/RateClaims.java
+++ b/core/src/main/java/org/oleanderstep/core/admission/RateClaims.java
@@ -58,18 +58,43 @@
     return own;
   }
 
-  /** Returns these claims with another claim and demand of one VM. */
-  RateClaims with(VmId vm, Map<OrganisationId, Double> own, Map<OrganisationId, Double> asked) {
-    return new RateClaims(replace(parts, vm, own), replace(demand, vm, asked));
+  /** Returns the parts of some VMs. */
+  public Map<OrganisationId, Map<VmId, Double>> of(Set<VmId> vms) {
+    return only(parts, parts.keySet(), vms);
   }
 
+  /** Returns these claims with another part of one VM. */
+  RateClaims withPart(OrganisationId organisation, VmId vm, double part) {
+    return new RateClaims(replace(parts, organisation, vm, part), demand);
+  }
+
+  /** Returns these claims with another demand of one VM. */
+  RateClaims withDemand(OrganisationId organisation, VmId vm, double asked) {
+    return new RateClaims(parts, replace(demand, organisation, vm, asked));
+  }
+
+  /** Returns these claims with equal parts for some VMs, for a rate that nobody claims yet. */
+  RateClaims withEqualParts(OrganisationId organisation, Set<VmId> vms) {
+    RateClaims changed = this;
+    for (VmId vm : vms) {
+      changed = changed.withPart(organisation, vm, 1.0 / vms.size());
+    }
+    return changed;
+  }
+
+  /** A value of zero is left out. */
   private static Map<OrganisationId, Map<VmId, Double>> replace(
-      Map<OrganisationId, Map<VmId, Double>> table, VmId vm, Map<OrganisationId, Double> values) {
-    Map<OrganisationId, Map<VmId, Double>> changed = new HashMap<>();
-    table.forEach((organisation, vms) -> changed.put(organisation, new HashMap<>(vms)));
-    values.forEach(
-        (organisation, value) ->
-            changed.computeIfAbsent(organisation, o -> new HashMap<>()).put(vm, value));
+      Map<OrganisationId, Map<VmId, Double>> table,
+      OrganisationId organisation,
+      VmId vm,
+      double value) {
+    Map<VmId, Double> vms = new HashMap<>(table.getOrDefault(organisation, Map.of()));
+    vms.remove(vm);
+    if (value != 0) {
+      vms.put(vm, value);
+    }
+    Map<OrganisationId, Map<VmId, Double>> changed = new HashMap<>(table);
+    changed.put(organisation, vms);
     return changed;
   }
 
--- a/core/src/main/java/org/oleanderstep/core/admission/RateShares.java
+++ b/core/src/main/java/org/oleanderstep/core/admission/RateShares.java
@@ -45,7 +45,20 @@
 
   private static final Duration NEVER = Duration.ofNanos(Long.MAX_VALUE);
 
-  private record Share(Limit limit, double part, TokenBucket bucket, boolean everOpen) {}
+  /** Longer than a borrower accepts a reply, with room for clocks that run differently. */
+  private static final Duration LOAN_TIME = TokenBorrower.REPLY_TIMEOUT.plusMillis(50);
+
+  private record Share(
+      Limit limit, double part, TokenBucket bucket, boolean everOpen, TokenLoans loans) {
+
+    private double cap() {
+      return Math.max(LEAST_BURST, limit.burst * part);
+    }
+
+    private void applyCap(long now) {
+      bucket.setCap(Math.max(0, cap() - loans.lent()), now);
+    }
+  }
 
   private final Map<OrganisationId, Share> shares = new HashMap<>();
 
@@ -69,7 +82,7 @@
     }
     if (part <= 0) {
       boolean everOpen = held != null && held.everOpen;
-      return new Share(limit, part, TokenBucket.closed(now), everOpen);
+      return new Share(limit, part, TokenBucket.closed(now), everOpen, loansOf(held));
     }
     double rate = Math.max(LEAST_RATE, limit.ratePerSecond * part);
     double cap = Math.max(LEAST_BURST, limit.burst * part);
@@ -77,7 +90,14 @@
     // full burst.
     boolean first = held == null || !held.everOpen;
     double tokens = first ? Math.min(cap, FIRST_TOKENS) : Math.min(cap, held.bucket.tokens(now));
-    return new Share(limit, part, TokenBucket.of(rate, cap, tokens, now), true);
+    Share share =
+        new Share(limit, part, TokenBucket.of(rate, cap, tokens, now), true, loansOf(held));
+    share.applyCap(now);
+    return share;
+  }
+
+  private static TokenLoans loansOf(Share held) {
+    return held == null ? new TokenLoans() : held.loans;
   }
 
   /** Consumes a token of an organisation if there is one. */
@@ -95,6 +115,43 @@
     return share == null ? NEVER : Duration.ofNanos(share.bucket.nanosUntil(tokens, now));
   }
 
+  /**
+   * Deducts tokens for another VM.
+   *
+   * @param reserved tokens that operations of this VM wait for
+   * @return the tokens deducted, at most the number that was asked for
+   */
+  public int lend(OrganisationId organisation, int asked, int reserved, long now) {
+    Share share = shares.get(organisation);
+    if (share == null || share.part <= 0) {
+      return 0;
+    }
+    int tokens = (int) Math.min(asked, Math.floor(share.bucket.tokens(now)) - reserved);
+    if (tokens <= 0 || !share.bucket.tryTake(tokens, now)) {
+      return 0;
+    }
+    share.loans.add(tokens, now);
+    share.applyCap(now);
+    return tokens;
+  }
+
+  /** Ends the loans whose tokens nobody can use any more; to be called regularly. */
+  public void endLoans(long now) {
+    for (Share share : shares.values()) {
+      if (share.loans.expire(now, LOAN_TIME.toNanos()) && share.part > 0) {
+        share.applyCap(now);
+      }
+    }
+  }
+
+  /** Adds borrowed tokens that nobody here needs any more; what exceeds the cap is lost. */
+  public void add(OrganisationId organisation, int tokens, long now) {
+    Share share = shares.get(organisation);
+    if (share != null && share.part > 0) {
+      share.bucket.add(tokens, now);
+    }
+  }
+
   /** Returns the tokens that an organisation has on this VM. */
   public double tokens(OrganisationId organisation, long now) {
     Share share = shares.get(organisation);
--- a/core/src/test/java/org/oleanderstep/core/admission/RateClaimPlannerTest.java
+++ b/core/src/test/java/org/oleanderstep/core/admission/RateClaimPlannerTest.java
@@ -187,4 +187,56 @@
 
     assertThat(claims).isEqualTo(settled);
   }
+
+  // Guards against parts too small to hold the token of one operation, as with many VMs.
+  @Test
+  void should_divide_a_small_rate_over_few_vms() {
+    Map<OrganisationId, RateShares.Limit> small = Map.of(SHOP, new RateShares.Limit(10, 9));
+
+    for (VmId vm : VMS) {
+      claims =
+          new RateClaimPlanner(vm)
+              .plan(claims, Map.of(SHOP, 2.0), small, new RateClaimPlanner.Vms(ALL, ALL));
+    }
+
+    assertThat(VMS.stream().filter(vm -> claims.of(SHOP, vm) > 0).count()).isEqualTo(2);
+    assertThat(total()).isWithin(TOLERANCE).of(1);
+  }
+
+  // With many VMs each change is a call of each of them, so one write must serve all.
+  @Test
+  void should_not_change_equal_parts_once_they_are_claimed() {
+    Set<VmId> many = new LinkedHashSet<>();
+    for (int i = 0; i < 30; i++) {
+      many.add(new VmId("vm-" + i));
+    }
+    plan(VMS.get(0), 10, many);
+    RateClaims first = claims;
+
+    many.forEach(vm -> plan(vm, 30, many));
+
+    assertThat(claims).isEqualTo(first);
+  }
+
+  // The VM that holds a part is removed; the next one in order takes its place.
+  @Test
+  void should_move_the_parts_of_a_small_rate_when_a_vm_is_gone() {
+    Map<OrganisationId, RateShares.Limit> small = Map.of(SHOP, new RateShares.Limit(10, 9));
+    RateClaimPlanner.Vms all = new RateClaimPlanner.Vms(ALL, ALL);
+    claims = new RateClaimPlanner(VMS.get(0)).plan(claims, Map.of(), small, all);
+    VmId gone = VMS.stream().filter(vm -> claims.of(SHOP, vm) > 0).findFirst().orElseThrow();
+    Set<VmId> left = new LinkedHashSet<>(VMS);
+    left.remove(gone);
+
+    for (VmId vm : left) {
+      claims =
+          new RateClaimPlanner(vm)
+              .plan(claims, Map.of(), small, new RateClaimPlanner.Vms(left, left));
+    }
+
+    assertThat(left.stream().mapToDouble(vm -> claims.of(SHOP, vm)).sum())
+        .isWithin(TOLERANCE)
+        .of(1);
+    assertThat(left.stream().filter(vm -> claims.of(SHOP, vm) > 0).count()).isEqualTo(2);
+  }
 }
--- a/gateway/src/main/java/org/oleanderstep/gateway/Gateway.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/Gateway.java
@@ -11,10 +11,14 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Consumer;
 import org.oleanderstep.core.admission.DemandMeter;
 import org.oleanderstep.core.admission.RateShares;
+import org.oleanderstep.core.admission.TokenBorrower;
 import org.oleanderstep.core.freshness.SuspendAwareClock;
 import org.oleanderstep.core.model.OrganisationId;
+import org.oleanderstep.core.model.VmId;
 import org.oleanderstep.gateway.control.GatewayConfiguration;
 import org.oleanderstep.gateway.control.TargetMember;
 import org.oleanderstep.gateway.log.DecisionLog;
@@ -30,7 +34,7 @@
  * Serves all sessions of one VM.
  *
  * <pre>{@code
- * Gateway gateway = new Gateway(failureDomain, clock, connector, log, metrics);
+ * Gateway gateway = new Gateway(failureDomain, clock, connector, log, metrics, lenders);
  * gateway.configure(configuration);
  * gateway.updateMembers(members);
  * Session session = gateway.newSession(channel);
@@ -54,11 +58,13 @@
   private final DecisionLog log;
   private final SessionMetrics metrics;
   private final RateShares rates = new RateShares();
+  private final TokenBorrower borrower = new TokenBorrower(ThreadLocalRandom.current().nextLong());
   private final Map<String, ServiceTraffic> services = new HashMap<>();
   private final Set<Session> sessions = new LinkedHashSet<>();
   private GatewayConfiguration configuration = NOTHING;
   private List<TargetMember> members = List.of();
   private Map<OrganisationId, Double> parts = Map.of();
+  private Map<OrganisationId, Map<VmId, Double>> lenderParts = Map.of();
   private Map<OrganisationId, Double> demand = Map.of();
   private final DemandMeter meter;
   private final AdmissionQueues admission;
@@ -71,7 +77,8 @@
       SuspendAwareClock clock,
       TargetConnector connector,
       DecisionLog log,
-      SessionMetrics metrics) {
+      SessionMetrics metrics,
+      Consumer<TokenBorrower.Ask> lenders) {
     this.failureDomain = failureDomain;
     this.clock = clock;
     this.connector = connector;
@@ -79,7 +86,7 @@
     this.metrics = metrics;
     meterRolledAt = clock.read().steadyNanos();
     meter = new DemandMeter(meterRolledAt);
-    admission = new AdmissionQueues(rates, meter);
+    admission = new AdmissionQueues(rates, borrower, meter, clock, lenders);
   }
 
   /** Puts a configuration into force; an older version than the one in force is ignored. */
@@ -105,6 +112,12 @@
     }
   }
 
+  /** Takes over the parts of the VMs that can be asked for tokens. */
+  public void updateLenders(Map<OrganisationId, Map<VmId, Double>> update) {
+    lenderParts = update;
+    borrower.update(configuration.limits(), lenderParts);
+  }
+
   /** Returns the operations a second that callers ask for, by organisation. */
   public Map<OrganisationId, Double> demand() {
     return demand;
@@ -122,6 +135,7 @@
 
   private void updateShares() {
     rates.update(configuration.limits(), parts, clock.read().steadyNanos());
+    borrower.update(configuration.limits(), lenderParts);
   }
 
   /** Takes over the members of all services. */
@@ -189,7 +203,7 @@
       meterRolledAt = now;
       demand = meter.roll(now);
     }
-    admission.tick(now);
+    admission.tick();
     services.values().forEach(ServiceTraffic::tick);
     List.copyOf(sessions).forEach(session -> session.tick(now));
   }
--- a/gateway/src/main/java/org/oleanderstep/gateway/session/AdmissionQueues.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/session/AdmissionQueues.java
@@ -1,54 +1,73 @@
 package org.oleanderstep.gateway.session;
 
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.Iterator;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
 import org.oleanderstep.core.admission.DemandMeter;
 import org.oleanderstep.core.admission.RateShares;
+import org.oleanderstep.core.admission.TokenBorrower;
+import org.oleanderstep.core.freshness.ClockReading;
+import org.oleanderstep.core.freshness.SuspendAwareClock;
 import org.oleanderstep.core.model.OrganisationId;
 
 /**
  * Operations that wait for a token of their organisation's rate.
  *
  * <pre>{@code
- * queues.submit(task, now);
- * queues.tick(now);
+ * queues.submit(task);
+ * queues.onReply(reply);
+ * queues.tick();
  * }</pre>
  *
  * <p>Answers a load that comes in bunches, for which a short wait costs a caller less than a
- * refusal and a new try. An operation for which no token can accrue in time is refused at once, so
- * that its caller can try another VM. More urgent routes go first, then those that came first.
- * Belongs to the traffic thread; times are steady nanoseconds.
+ * refusal and a new try. A missing token is borrowed from another VM. An operation for which no
+ * token can come in time is refused at once, so that its caller can try another VM. More urgent
+ * routes go first, then those that came first. Belongs to the traffic thread.
  */
 public final class AdmissionQueues {
 
   private final RateShares rates;
+  private final TokenBorrower borrower;
   private final DemandMeter demand;
+  private final SuspendAwareClock clock;
+  private final Consumer<TokenBorrower.Ask> lenders;
   private final Map<OrganisationId, List<AdmissionTask>> waiting = new HashMap<>();
 
-  /** Creates empty queues in front of the rates, which count what is asked for. */
-  public AdmissionQueues(RateShares rates, DemandMeter demand) {
+  /**
+   * Creates empty queues in front of the rates.
+   *
+   * @param demand counts what is asked for
+   * @param lenders takes requests to other VMs; their replies go to {@link #onReply}
+   */
+  public AdmissionQueues(
+      RateShares rates,
+      TokenBorrower borrower,
+      DemandMeter demand,
+      SuspendAwareClock clock,
+      Consumer<TokenBorrower.Ask> lenders) {
     this.rates = rates;
+    this.borrower = borrower;
     this.demand = demand;
+    this.clock = clock;
+    this.lenders = lenders;
   }
 
   /** Admits an operation, lets it wait, or refuses it if it would wait for too long. */
-  void submit(AdmissionTask task, long now) {
+  void submit(AdmissionTask task) {
     OrganisationId organisation = task.organisation();
     demand.record(organisation);
-    List<AdmissionTask> queue = waiting.computeIfAbsent(organisation, o -> new ArrayList<>());
-    int place = placeOf(task, queue);
-    Duration wait = rates.timeUntil(organisation, place + 1, now);
-    if (place == 0 && rates.tryAcquire(organisation, now)) {
-      task.admit();
-    } else if (wait.compareTo(task.patience(now)) > 0) {
-      task.refuse();
-    } else {
-      queue.add(place, task);
-    }
+    List<AdmissionTask> queue = queue(organisation);
+    queue.add(placeOf(task, queue), task);
+    serve(organisation);
+  }
+
+  private List<AdmissionTask> queue(OrganisationId organisation) {
+    return waiting.computeIfAbsent(organisation, o -> new ArrayList<>());
   }
 
   private static int placeOf(AdmissionTask task, List<AdmissionTask> queue) {
@@ -61,32 +80,86 @@
 
   /** Removes an operation whose caller is gone. */
   void cancel(AdmissionTask task) {
-    waiting.getOrDefault(task.organisation(), List.of()).remove(task);
+    queue(task.organisation()).remove(task);
   }
 
-  /** Admits those for which tokens have accrued, and refuses those that waited for too long. */
-  public void tick(long now) {
-    for (OrganisationId organisation : List.copyOf(waiting.keySet())) {
-      List<AdmissionTask> queue = waiting.get(organisation);
-      while (!queue.isEmpty() && rates.tryAcquire(organisation, now)) {
-        queue.remove(0).admit();
-      }
-      removeExpired(queue, now).forEach(AdmissionTask::refuse);
-      if (queue.isEmpty()) {
-        waiting.remove(organisation);
+  /** Deducts tokens that another VM asks for; those who wait here go first. */
+  public TokenBorrower.Reply lend(TokenBorrower.Ask ask) {
+    long now = clock.read().steadyNanos();
+    int reserved = queue(ask.organisation()).size();
+    int tokens = rates.lend(ask.organisation(), ask.tokens(), reserved, now);
+    return new TokenBorrower.Reply(ask.id(), tokens, rates.tokens(ask.organisation(), now));
+  }
+
+  /** Takes the reply of a VM that was asked for tokens. */
+  public void onReply(TokenBorrower.Reply reply) {
+    Optional<TokenBorrower.Credit> credit = borrower.onReply(reply, clock.read());
+    if (credit.isEmpty()) {
+      return;
+    }
+    OrganisationId organisation = credit.get().organisation();
+    List<AdmissionTask> queue = queue(organisation);
+    int left = credit.get().tokens();
+    while (left > 0 && !queue.isEmpty()) {
+      left--;
+      queue.remove(0).admit();
+    }
+    rates.add(organisation, left, clock.read().steadyNanos());
+    serve(organisation);
+  }
+
+  /** Admits those for which tokens have accrued, and refuses those that can't have one. */
+  public void tick() {
+    ClockReading now = clock.read();
+    rates.endLoans(now.steadyNanos());
+    Set<OrganisationId> changed = new HashSet<>(borrower.tick(now));
+    changed.addAll(waiting.keySet());
+    changed.forEach(this::serve);
+    waiting.values().removeIf(List::isEmpty);
+  }
+
+  private void serve(OrganisationId organisation) {
+    List<AdmissionTask> queue = queue(organisation);
+    while (!queue.isEmpty() && rates.tryAcquire(organisation, clock.read().steadyNanos())) {
+      queue.remove(0).admit();
+    }
+    if (!queue.isEmpty()) {
+      borrow(organisation, queue.size());
+      refuseHopeless(organisation, queue);
+    }
+  }
+
+  private void borrow(OrganisationId organisation, int needed) {
+    ClockReading now = clock.read();
+    int missing = needed - borrower.underway(organisation, now);
+    while (missing > 0) {
+      Optional<TokenBorrower.Ask> ask = borrower.ask(organisation, missing, now);
+      if (ask.isEmpty()) {
+        return;
       }
+      missing -= ask.get().tokens();
+      lenders.accept(ask.get());
     }
   }
 
-  private static List<AdmissionTask> removeExpired(List<AdmissionTask> queue, long now) {
-    List<AdmissionTask> expired = new ArrayList<>();
-    for (Iterator<AdmissionTask> tasks = queue.iterator(); tasks.hasNext(); ) {
-      AdmissionTask task = tasks.next();
-      if (task.patience(now).isNegative()) {
-        tasks.remove();
-        expired.add(task);
+  private void refuseHopeless(OrganisationId organisation, List<AdmissionTask> queue) {
+    ClockReading now = clock.read();
+    long nanos = now.steadyNanos();
+    int underway = borrower.underway(organisation, now);
+    List<AdmissionTask> hopeless = new ArrayList<>();
+    int kept = 0;
+    for (AdmissionTask task : queue) {
+      int local = kept + 1 - underway;
+      boolean late =
+          local > 0
+              && rates.timeUntil(organisation, local, nanos).compareTo(task.patience(nanos)) > 0;
+      if (late || task.patience(nanos).isNegative()) {
+        hopeless.add(task);
+      } else {
+        kept++;
       }
     }
-    return expired;
+    queue.removeAll(hopeless);
+    hopeless.forEach(AdmissionTask::refuse);
   }
 }
--- a/gateway/src/main/java/org/oleanderstep/gateway/session/AdmissionTask.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/session/AdmissionTask.java
@@ -28,11 +28,8 @@
     this.route = route;
     this.onAdmitted = onAdmitted;
     this.onRefused = onRefused;
-    giveUpAt = now() + (long) (route.targetLatency().toNanos() * WAITING_PART);
-  }
-
-  private long now() {
-    return environment.clock().read().steadyNanos();
+    long now = environment.clock().read().steadyNanos();
+    giveUpAt = now + (long) (route.targetLatency().toNanos() * WAITING_PART);
   }
 
   OrganisationId organisation() {
@@ -58,7 +55,7 @@
 
   @Override
   public void start() {
-    environment.admission().submit(this, now());
+    environment.admission().submit(this);
   }
 
   @Override
--- a/gateway/src/test/java/org/oleanderstep/gateway/GatewayFixture.java
+++ b/gateway/src/test/java/org/oleanderstep/gateway/GatewayFixture.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import org.oleanderstep.core.admission.RateShares;
+import org.oleanderstep.core.admission.TokenBorrower;
 import org.oleanderstep.core.model.OrganisationId;
 import org.oleanderstep.core.position.LogPosition;
 import org.oleanderstep.gateway.control.GatewayConfiguration;
@@ -36,6 +37,7 @@
   public final FakeMember third = new FakeMember("third", SERVICE, false, network);
   private final Map<String, FakeMember> members =
       Map.of("first", first, "second", second, "third", third);
+  public final List<TokenBorrower.Ask> asks = new ArrayList<>();
   public final Gateway gateway =
       new Gateway(
           "zone",
@@ -43,7 +45,8 @@
           (member, organisation, listener) ->
               members.get(member.id().name()).connect(organisation, listener),
           new DecisionLog(() -> clock.read().steadyNanos()),
-          new SessionMetrics(new SimpleMeterRegistry()));
+          new SessionMetrics(new SimpleMeterRegistry()),
+          asks::add);
   private Map<String, OrganisationId> keys = Map.of(SHOP_KEY, SHOP, LAB_KEY, LAB);
   private double rate = RATE;
   private int connections = 16;
--- a/gateway/src/test/java/org/oleanderstep/gateway/session/SessionConsistencyTest.java
+++ b/gateway/src/test/java/org/oleanderstep/gateway/session/SessionConsistencyTest.java
@@ -99,6 +99,28 @@
     assertThat(caller.servedBy()).isNotEqualTo("first");
   }
 
+  // The load: replicas are far behind, and the primary has no connection left for a moment. Asking
+  // the same replica again and again ended such reads within milliseconds.
+  @Test
+  void should_wait_for_the_primary_while_the_replicas_are_behind() {
+    fixture.setConnections(1);
+    FakeCaller caller = open(OWN_DATABASE);
+    caller.read();
+    caller.write();
+    fixture.pass(USUAL_LAG);
+    FakeCaller holder = open(PRIMARY_DATABASE);
+    holder.run(StatementKind.BEGIN, "BEGIN");
+    holder.write();
+
+    caller.send(StatementKind.READ, "READ item");
+    fixture.pass(Duration.ofMillis(100));
+    assertThat(caller.answers).hasSize(2);
+    holder.run(StatementKind.COMMIT, "COMMIT");
+    fixture.pass(SHORT);
+
+    assertThat(caller.servedBy()).isEqualTo("first");
+  }
+
   @Test
   void should_read_what_its_own_transaction_wrote() {
     FakeCaller caller = open(OWN_DATABASE);
