Let a proxy that is not ready accept the close of a statement

Closing needs neither key nor configuration: the statement is unknown here, or ends with its connection.

--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/CallService.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/CallService.java
@@ -87,7 +87,8 @@
     try {
       identified = identify(call);
     } catch (RuntimeException e) {
-      return CompletableFuture.completedFuture(failed(ErrorAnswers.outcomeOf(e), null, start));
+      return CompletableFuture.completedFuture(
+          unidentified(ErrorAnswers.outcomeOf(e), body, start));
     }
     try {
       result = dispatch(identified, parse(body));
@@ -101,6 +102,32 @@
                 : failed(ErrorAnswers.outcomeOf(failure), identified, start));
   }
 
+  /**
+   * Answers a call that can't be identified. The close of a statement succeeds while the proxy
+   * can't serve: a driver would report its failure as that of the statement, which has run.
+   */
+  private CallerAnswer unidentified(Outcome outcome, byte[] body, long start) {
+    if (!isUnready(outcome) || !isCloseOfStatement(body)) {
+      return failed(outcome, null, start);
+    }
+    inFlight.decrementAndGet();
+    Service.Response closed = new Service.CloseStatementResponse(metadata);
+    return new CallerAnswer(encode(closed), false, false, Optional.empty(), false);
+  }
+
+  private static boolean isUnready(Outcome outcome) {
+    return outcome instanceof Outcome.NotRun notRun
+        && (notRun.reason() == NotRunReason.NOT_READY || notRun.reason() == NotRunReason.STOPPING);
+  }
+
+  private static boolean isCloseOfStatement(byte[] body) {
+    try {
+      return parse(body) instanceof Service.CloseStatementRequest;
+    } catch (OutcomeException e) {
+      return false;
+    }
+  }
+
   private CallerAnswer served(Service.Response answer, CallContext call, long start) {
     inFlight.decrementAndGet();
     context.metrics().ended(new Outcome.Served(), Duration.ofNanos(System.nanoTime() - start));
--- a/proxy/src/test/java/org/oleanderstep/proxy/internal/traffic/WaitingAndDrainTest.java
+++ b/proxy/src/test/java/org/oleanderstep/proxy/internal/traffic/WaitingAndDrainTest.java
@@ -123,6 +123,33 @@
     }
   }
 
+  // A driver reports the failure of a close as that of the update, which has run.
+  @Test
+  void should_let_statements_be_closed_while_the_proxy_is_not_ready() throws SQLException {
+    try (Connection connection = proxy.connect(TestControl.ORDERS, "north-1", "?timeoutMs=500")) {
+      try (Statement statement = connection.createStatement()) {
+        assertThat(statement.executeUpdate(CHANGE)).isEqualTo(1);
+        proxy.control().change(WaitingAndDrainTest::notReady);
+      }
+      proxy.control().refresh();
+    }
+    assertThat(group.number("select count from stock")).isEqualTo(1);
+  }
+
+  private static ControlSnapshot notReady(ControlSnapshot s) {
+    return new ControlSnapshot(
+        s.vm(),
+        s.instance(),
+        s.configuration(),
+        false,
+        s.trusted(),
+        s.leaving(),
+        s.vms(),
+        s.groups(),
+        s.incarnations(),
+        s.purgeDuties());
+  }
+
   @Test
   void should_let_transactions_finish_while_draining() throws Exception {
     try (Connection connection = connectToBoth();
