--- a/gateway/src/main/java/org/oleanderstep/gateway/Gateway.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/Gateway.java
@@ -87,7 +87,7 @@
     this.metrics = metrics;
     meterRolledAt = clock.read().steadyNanos();
     meter = new DemandMeter(meterRolledAt);
-    admission = new AdmissionQueues(rates, borrower, meter, clock, lenders);
+    admission = new AdmissionQueues(rates, borrower, meter, clock, lenders, metrics);
   }
 
   /** Puts a configuration into force; an older version than the one in force is ignored. */
--- a/gateway/src/main/java/org/oleanderstep/gateway/session/AdmissionQueues.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/session/AdmissionQueues.java
@@ -35,6 +35,7 @@
   private final DemandMeter demand;
   private final SuspendAwareClock clock;
   private final TokenLenders lenders;
+  private final SessionMetrics metrics;
   private final Map<OrganisationId, List<AdmissionTask>> waiting = new HashMap<>();
 
   /**
@@ -48,12 +49,14 @@
       TokenBorrower borrower,
       DemandMeter demand,
       SuspendAwareClock clock,
-      TokenLenders lenders) {
+      TokenLenders lenders,
+      SessionMetrics metrics) {
     this.rates = rates;
     this.borrower = borrower;
     this.demand = demand;
     this.clock = clock;
     this.lenders = lenders;
+    this.metrics = metrics;
   }
 
   /** Admits an operation, lets it wait, or refuses it if it would wait for too long. */
@@ -87,6 +90,7 @@
     long now = clock.read().steadyNanos();
     int reserved = queue(ask.organisation()).size();
     int tokens = rates.lend(ask, reserved, now);
+    metrics.recordLent(tokens);
     return new TokenBorrower.Reply(ask.id(), tokens, rates.tokens(ask.organisation(), now));
   }
 
@@ -107,6 +111,7 @@
     }
     List<AdmissionTask> queue = queue(organisation);
     int left = credit.get().tokens();
+    metrics.recordBorrowed(left);
     while (left > 0 && !queue.isEmpty()) {
       left--;
       queue.remove(0).admit();
--- a/gateway/src/main/java/org/oleanderstep/gateway/session/Session.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/session/Session.java
@@ -271,6 +271,7 @@
             environment,
             organisation.get(),
             route,
+            requestId,
             () -> onAdmitted.accept(route, service.get()),
             () -> refuseRate(organisation.get()));
     task = Optional.of(waiting);
--- a/gateway/src/main/java/org/oleanderstep/gateway/session/SessionMetrics.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/session/SessionMetrics.java
@@ -25,6 +25,8 @@
   private final Map<String, Counter> outcomes = new HashMap<>();
   private final Timer latency;
   private final Counter retries;
+  private final Counter borrowed;
+  private final Counter lent;
 
   /** Registers the meters. */
   public SessionMetrics(MeterRegistry registry) {
@@ -34,6 +36,8 @@
             .serviceLevelObjectives(LATENCY_BUCKETS)
             .register(registry);
     retries = registry.counter("oleanderstep.statement.retries");
+    borrowed = registry.counter("oleanderstep.tokens.borrowed");
+    lent = registry.counter("oleanderstep.tokens.lent");
   }
 
   void recordAnswer(Answer answer, long tookNanos) {
@@ -44,6 +48,14 @@
     latency.record(Duration.ofNanos(tookNanos));
   }
 
+  void recordBorrowed(int tokens) {
+    borrowed.increment(tokens);
+  }
+
+  void recordLent(int tokens) {
+    lent.increment(tokens);
+  }
+
   void recordRetry() {
     retries.increment();
   }
