--- a/gateway/src/main/java/org/oleanderstep/gateway/Gateway.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/Gateway.java
@@ -187,6 +187,11 @@
     List.copyOf(sessions).forEach(Session::closeWhenIdle);
   }
 
+  /** Closes each session of some services as soon as it is idle. */
+  public void closeIdleSessions(Set<String> affected) {
+    List.copyOf(sessions).forEach(session -> session.closeWhenIdle(affected));
+  }
+
   /** Rolls back the transactions that are open. */
   public void abortTransactions() {
     List.copyOf(sessions).forEach(Session::abortTransaction);
--- a/gateway/src/main/java/org/oleanderstep/gateway/session/Session.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/session/Session.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.BiConsumer;
 import org.oleanderstep.core.model.OrganisationId;
 import org.oleanderstep.core.position.LogPosition;
@@ -117,6 +118,14 @@
     closeIfIdle();
   }
 
+  /** Closes the session if it is idle now and its route leads to one of some services. */
+  public void closeWhenIdle(Set<String> services) {
+    GatewayRoute route = environment.configuration().routes().get(database);
+    if (route != null && services.contains(route.service()) && opened) {
+      closeWhenIdle();
+    }
+  }
+
   private void closeIfIdle() {
     if (closing && !closed && !busy && status == SessionStatus.IDLE) {
       closed = true;
