--- a/gateway/src/main/java/org/oleanderstep/gateway/failover/IsolationDetector.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/failover/IsolationDetector.java
@@ -14,7 +14,7 @@
  * Finds the services whose primary this VM can't reach although most others can.
  *
  * <pre>{@code
- * Set<String> services = detector.update(members, ownSuspects, votes, vms, now);
+ * Set<String> services = detector.update(members, unproved, suspects, votes, vms, now);
  * }</pre>
  *
  * <p>Answers a partition between this VM and a primary: callers are served better by the other VMs.
@@ -32,12 +32,14 @@
    * Returns the services from whose primary this VM is cut off.
    *
    * @param members all members that are registered
+   * @param unproved services of which no member has lately shown this VM that it leads
    * @param ownSuspects members from which this VM gets no answer
    * @param votes the number of VMs that get no answer from a member, with this one
    * @param vms VMs that take part
    */
   public Set<String> update(
       Collection<TargetMember> members,
+      Set<String> unproved,
       Set<MemberId> ownSuspects,
       Map<MemberId, Integer> votes,
       int vms,
@@ -48,22 +50,13 @@
             .filter(member -> ownSuspects.contains(member.id()))
             .filter(member -> votes.getOrDefault(member.id(), 0) * 2 < vms)
             .map(TargetMember::service)
+            .filter(unproved::contains)
             .collect(Collectors.toSet());
-    alone.removeAll(servedByAnother(members, ownSuspects));
     unreachableSince.keySet().retainAll(alone);
     alone.forEach(service -> unreachableSince.putIfAbsent(service, now));
     return confirmed(now);
   }
 
-  private static Set<String> servedByAnother(
-      Collection<TargetMember> members, Set<MemberId> ownSuspects) {
-    return members.stream()
-        .filter(TargetMember::claimsPrimary)
-        .filter(member -> !ownSuspects.contains(member.id()))
-        .map(TargetMember::service)
-        .collect(Collectors.toSet());
-  }
-
   private Set<String> confirmed(long now) {
     Set<String> services = new HashSet<>();
     unreachableSince.forEach(
--- a/gateway/src/main/java/org/oleanderstep/gateway/target/ServiceTraffic.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/target/ServiceTraffic.java
@@ -38,6 +38,9 @@
 
   private static final Duration SAMPLE_INTERVAL = Duration.ofMillis(300);
 
+  /** Several intervals, of which some may find no free connection. */
+  private static final Duration PROOF_VALID = Duration.ofSeconds(1);
+
   private final String service;
   private final SuspendAwareClock clock;
   private final TargetConnector connector;
@@ -151,6 +154,14 @@
     return primary().filter(pool -> !pool.isFailing()).isPresent();
   }
 
+  /** Returns whether a member has lately shown that it leads. */
+  public boolean hasRecentProof() {
+    return history
+        .newestAge(clock.read())
+        .filter(age -> age.compareTo(PROOF_VALID) < 0)
+        .isPresent();
+  }
+
   /** Returns the members that have not answered for a while. */
   public Set<MemberId> suspects() {
     return suspects;
--- a/gateway/src/test/java/org/oleanderstep/gateway/failover/IsolationDetectorTest.java
+++ b/gateway/src/test/java/org/oleanderstep/gateway/failover/IsolationDetectorTest.java
@@ -19,7 +19,8 @@
   private static final int VMS = 5;
 
   private final IsolationDetector detector = new IsolationDetector();
-  private final List<TargetMember> members = List.of(member(PRIMARY, true), member(REPLICA, false));
+  private List<TargetMember> members = List.of(member(PRIMARY, true), member(REPLICA, false));
+  private Set<String> unproved = Set.of("main");
   private long now = Duration.ofHours(1).toNanos();
 
   private static TargetMember member(MemberId id, boolean primary) {
@@ -28,9 +29,9 @@
   }
 
   private Set<String> after(Duration time, Set<MemberId> suspects, Map<MemberId, Integer> votes) {
-    detector.update(members, suspects, votes, VMS, now);
+    detector.update(members, unproved, suspects, votes, VMS, now);
     now += time.toNanos();
-    return detector.update(members, suspects, votes, VMS, now);
+    return detector.update(members, unproved, suspects, votes, VMS, now);
   }
 
   // Callers that stay at a VM without the primary fail, although other VMs would serve them.
@@ -40,6 +41,23 @@
         .containsExactly("main");
   }
 
+  // The entry of a former primary that is cut off from the platform still says that it leads.
+  @Test
+  void should_not_rely_on_a_former_primary_that_answers() {
+    members = List.of(member(PRIMARY, true), member(REPLICA, true));
+
+    assertThat(after(Duration.ofSeconds(2), Set.of(PRIMARY), Map.of(PRIMARY, 2)))
+        .containsExactly("main");
+  }
+
+  @Test
+  void should_stay_while_a_member_shows_that_it_leads() {
+    members = List.of(member(PRIMARY, true), member(REPLICA, true));
+    unproved = Set.of();
+
+    assertThat(after(Duration.ofSeconds(2), Set.of(PRIMARY), Map.of(PRIMARY, 2))).isEmpty();
+  }
+
   // A lost primary is missed by all; sending callers away would only cost them a new connection.
   @Test
   void should_stay_while_most_vms_miss_the_primary() {
