--- a/load/src/test/java/org/oleanderstep/load/FleetScenarioIT.java
+++ b/load/src/test/java/org/oleanderstep/load/FleetScenarioIT.java
@@ -3,7 +3,6 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import java.nio.file.Path;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -21,7 +20,6 @@
 
   @TempDir Path directory;
 
-  @Tag("known-red")
   @ParameterizedTest
   @ValueSource(
       strings = {
