Replace a primary only if most VMs miss it, and never by a log that has not followed

Now a majority of the live VMs must miss a primary. A member that has led is a candidate only once it shows a position of a later term, or after 15 s without any other candidate.

Ruled out: freshness of reads (their positions were right for the term).

--- a/gateway/src/main/java/org/oleanderstep/gateway/failover/PrimaryKeeper.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/failover/PrimaryKeeper.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.oleanderstep.core.model.MemberId;
 import org.oleanderstep.core.position.LogPosition;
@@ -39,7 +40,12 @@
 
   private static final Duration RETRY_PAUSE = Duration.ofMillis(400);
   private static final Duration EXCLUSION = Duration.ofSeconds(3);
-  private static final int VOTES_NEEDED = 2;
+
+  /** One VM alone may be cut off itself, also where there are only two. */
+  private static final int LEAST_VOTES = 2;
+
+  /** Time without any other candidate after which a former primary may lead with an old log. */
+  private static final Duration LAST_RESORT = Duration.ofSeconds(15);
 
   /**
    * What the VM knows.
@@ -64,6 +70,8 @@
     private long neededSince;
     private long quietUntil;
     private boolean everLed;
+    // The last term in which each member that has led showed a position.
+    private final Map<MemberId, Long> ledInTerm = new HashMap<>();
   }
 
   private final Map<String, ServiceState> states = new HashMap<>();
@@ -83,6 +91,7 @@
   private Optional<Promotion> decide(
       String service, List<TargetMember> members, View view, long now) {
     ServiceState state = states.computeIfAbsent(service, s -> new ServiceState());
+    noteLeaders(state, members, view);
     Optional<PromotionReason> reason = need(state, members, view);
     if (!reason.equals(state.reason)) {
       state.reason = reason;
@@ -95,10 +104,33 @@
     if (now - state.neededSince < delay.toNanos()) {
       return Optional.empty();
     }
-    return candidate(members, view, now)
+    boolean lastResort = now - state.neededSince > LAST_RESORT.toNanos();
+    return candidate(members, view, now, member -> lastResort || hasFollowed(state, member, view))
         .map(member -> new Promotion(service, member.id(), reason.get()));
   }
 
+  private static void noteLeaders(ServiceState state, List<TargetMember> members, View view) {
+    for (TargetMember member : members) {
+      if (member.claimsPrimary()) {
+        state.ledInTerm.merge(member.id(), term(member, view), Math::max);
+      }
+    }
+  }
+
+  private static long term(TargetMember member, View view) {
+    return view.positions().getOrDefault(member.id(), LogPosition.START).term();
+  }
+
+  /**
+   * Returns whether the log of a member is a part of the log of the present term. A former primary
+   * may hold commits that its successor lacks; if it led again, these would come back and those of
+   * its successor would be lost. It has followed once it shows a position of a later term.
+   */
+  private static boolean hasFollowed(ServiceState state, TargetMember member, View view) {
+    Long led = state.ledInTerm.get(member.id());
+    return led == null || term(member, view) > led;
+  }
+
   private static Optional<PromotionReason> need(
       ServiceState state, List<TargetMember> members, View view) {
     List<TargetMember> leaders = members.stream().filter(TargetMember::claimsPrimary).toList();
@@ -117,16 +149,22 @@
   }
 
   private static boolean isUnreachable(TargetMember leader, View view) {
-    int needed = Math.min(VOTES_NEEDED, view.vms());
-    return view.votes().getOrDefault(leader.id(), 0) >= needed;
+    return view.votes().getOrDefault(leader.id(), 0) >= votesNeeded(view);
+  }
+
+  /** A primary that most VMs reach serves more callers than a successor that only a few reach. */
+  private static int votesNeeded(View view) {
+    int majority = view.vms() / 2 + 1;
+    return Math.min(view.vms(), Math.max(LEAST_VOTES, majority));
   }
 
-  private Optional<TargetMember> candidate(List<TargetMember> members, View view, long now) {
+  private Optional<TargetMember> candidate(
+      List<TargetMember> members, View view, long now, Predicate<TargetMember> mayLead) {
     Set<MemberId> excluded = new HashSet<>(view.ownSuspects());
     view.votes()
         .forEach(
             (id, votes) -> {
-              if (votes >= Math.min(VOTES_NEEDED, view.vms())) {
+              if (votes >= votesNeeded(view)) {
                 excluded.add(id);
               }
             });
@@ -135,6 +173,7 @@
     return members.stream()
         .filter(member -> !member.claimsPrimary() && !member.draining())
         .filter(member -> !excluded.contains(member.id()))
+        .filter(mayLead)
         .max(
             Comparator.comparing(
                     (TargetMember m) -> view.positions().getOrDefault(m.id(), LogPosition.START))
