Use one rendezvous hash, deduct a loan before it counts, and name things plainly

A loan is noted only after its tokens are deducted; before, a deduction that failed would have lent tokens that were not there (it can't fail today). Some names said less than they could.

--- a/core/src/main/java/org/oleanderstep/core/admission/RateClaimPlanner.java
+++ b/core/src/main/java/org/oleanderstep/core/admission/RateClaimPlanner.java
@@ -37,8 +37,8 @@
   private static final double SMALLEST_CHANGE = 0.01;
   private static final double NEGLIGIBLE = 1e-6;
 
-  /** A VM with less than this part of what it is due can't wait. */
-  private static final double POOR = 0.5;
+  /** Part of what is due below which a VM gets more at once, however small the differences are. */
+  private static final double FAR_BELOW = 0.5;
 
   /** Operations of burst that a VM must be able to hold for a part to be of use. */
   private static final double LEAST_BURST = 4;
@@ -136,11 +136,11 @@
     double held = claims.of(organisation, self);
     double possible = Math.min(dues.getOrDefault(self, 0.0), held + claims.free(organisation));
     // A VM that has far too little can only get what the others give up.
-    boolean anyPoor =
+    boolean anyFarBelow =
         dues.entrySet().stream()
-            .anyMatch(each -> claims.of(organisation, each.getKey()) < each.getValue() * POOR);
+            .anyMatch(each -> claims.of(organisation, each.getKey()) < each.getValue() * FAR_BELOW);
     double tolerated =
-        anyPoor ? NEGLIGIBLE : Math.max(SMALLEST_CHANGE, held * TOLERATED_DIFFERENCE);
+        anyFarBelow ? NEGLIGIBLE : Math.max(SMALLEST_CHANGE, held * TOLERATED_DIFFERENCE);
     boolean changed = Math.abs(possible - held) > tolerated;
     return changed ? claims.withPart(organisation, self, possible) : claims;
   }
--- a/core/src/main/java/org/oleanderstep/core/admission/RateShares.java
+++ b/core/src/main/java/org/oleanderstep/core/admission/RateShares.java
@@ -122,10 +122,10 @@
       return 0;
     }
     int tokens = (int) Math.min(ask.tokens(), Math.floor(share.bucket.tokens(now)) - reserved);
-    if (tokens <= 0 || !share.loans.add(ask.id(), tokens, now)) {
+    if (tokens <= 0 || share.loans.isKnown(ask.id()) || !share.bucket.tryTake(tokens, now)) {
       return 0;
     }
-    share.bucket.tryTake(tokens, now);
+    share.loans.add(ask.id(), tokens, now);
     share.applyCap(now);
     return tokens;
   }
--- a/core/src/main/java/org/oleanderstep/core/admission/TokenBorrower.java
+++ b/core/src/main/java/org/oleanderstep/core/admission/TokenBorrower.java
@@ -150,7 +150,7 @@
 
   /** Notes which VMs do not answer; returns the organisations whose tokens will not come. */
   public Set<OrganisationId> tick(ClockReading now) {
-    Set<OrganisationId> disappointed = new HashSet<>();
+    Set<OrganisationId> affected = new HashSet<>();
     for (Pending each : List.copyOf(pending.values())) {
       Duration age = each.askedAt.ageAt(now);
       if (age.compareTo(LOST) >= 0) {
@@ -158,12 +158,12 @@
         if (known != null && known.isLost(each.ask.lender, LOST.toNanos(), now.steadyNanos())) {
           known.noteSilent(each.ask.lender, now.steadyNanos());
         }
-        disappointed.add(each.ask.organisation);
+        affected.add(each.ask.organisation);
       }
       if (age.compareTo(REPLY_TIMEOUT) > 0) {
         pending.remove(each.ask.id);
       }
     }
-    return disappointed;
+    return affected;
   }
 }
--- a/core/src/main/java/org/oleanderstep/core/admission/TokenLoans.java
+++ b/core/src/main/java/org/oleanderstep/core/admission/TokenLoans.java
@@ -17,13 +17,13 @@
   private final Map<Long, Loan> loans = new LinkedHashMap<>();
   private int lent;
 
-  /** Adds a loan; false if one with this id is known. */
-  boolean add(long id, int tokens, long now) {
-    if (loans.putIfAbsent(id, new Loan(tokens, now)) != null) {
-      return false;
-    }
+  boolean isKnown(long id) {
+    return loans.containsKey(id);
+  }
+
+  void add(long id, int tokens, long now) {
+    loans.put(id, new Loan(tokens, now));
     lent += tokens;
-    return true;
   }
 
   int lent() {
--- a/core/src/main/java/org/oleanderstep/core/failover/FailoverController.java
+++ b/core/src/main/java/org/oleanderstep/core/failover/FailoverController.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
+import org.oleanderstep.core.membership.RendezvousHash;
 import org.oleanderstep.core.model.DatabaseId;
 import org.oleanderstep.core.model.MemberId;
 import org.oleanderstep.core.model.VmId;
@@ -106,7 +107,10 @@
     this.pauseLimitNanos = settings.pauseLimit().toNanos();
     this.freshForNanos = suspectAfterNanos / 2;
     // Spreads the candidates until the peers are known.
-    this.rank = (int) Math.floorMod(RendezvousHash.weight(self, database), (long) MAX_RANK + 1);
+    this.rank =
+        (int)
+            Math.floorMod(
+                RendezvousHash.weight(database.toString(), self.name()), (long) MAX_RANK + 1);
   }
 
   /** Returns the name under which fences and promotions are ordered, unique for this process. */
@@ -116,7 +120,13 @@
 
   /** Takes the VMs of the proxies that are alive, for the rank of this one among them. */
   public void onPeers(Collection<VmId> live) {
-    rank = Math.min(MAX_RANK, RendezvousHash.rank(self, live, database));
+    rank = Math.min(MAX_RANK, rankAmong(live));
+  }
+
+  /** Each database has another order of VMs, so that no VM comes first for all. */
+  private int rankAmong(Collection<VmId> vms) {
+    List<String> names = vms.stream().map(VmId::name).toList();
+    return RendezvousHash.rank(database.toString(), self.name(), names);
   }
 
   /** Takes the answer to a status request. */
--- a/core/src/main/java/org/oleanderstep/core/membership/RendezvousHash.java
+++ b/core/src/main/java/org/oleanderstep/core/membership/RendezvousHash.java
@@ -1,6 +1,7 @@
 package org.oleanderstep.core.membership;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Collection;
 
 /**
  * Highest-random-weight hashing: all processes rank the same candidates for a key in the same
@@ -24,6 +25,15 @@
     return mix(fnv(hash, candidate));
   }
 
+  /** Returns how many other candidates rank before one. */
+  public static int rank(String key, String candidate, Collection<String> candidates) {
+    long own = weight(key, candidate);
+    return (int)
+        candidates.stream()
+            .filter(other -> Long.compareUnsigned(weight(key, other), own) > 0)
+            .count();
+  }
+
   private static long fnv(long start, String text) {
     long hash = start;
     for (byte octet : text.getBytes(StandardCharsets.UTF_8)) {
--- a/gateway/src/main/java/org/oleanderstep/gateway/session/AdmissionQueues.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/session/AdmissionQueues.java
@@ -137,7 +137,7 @@
     }
     if (!queue.isEmpty()) {
       borrow(organisation, queue.size());
-      refuseHopeless(organisation, queue);
+      refuseUnservable(organisation, queue);
     }
   }
 
@@ -154,11 +154,11 @@
     }
   }
 
-  private void refuseHopeless(OrganisationId organisation, List<AdmissionTask> queue) {
+  private void refuseUnservable(OrganisationId organisation, List<AdmissionTask> queue) {
     ClockReading now = clock.read();
     long nanos = now.steadyNanos();
     int underway = borrower.underway(organisation, now);
-    List<AdmissionTask> hopeless = new ArrayList<>();
+    List<AdmissionTask> unservable = new ArrayList<>();
     int kept = 0;
     for (AdmissionTask task : queue) {
       int local = kept + 1 - underway;
@@ -166,12 +166,12 @@
           local > 0
               && rates.timeUntil(organisation, local, nanos).compareTo(task.patience(nanos)) > 0;
       if (late || task.patience(nanos).isNegative()) {
-        hopeless.add(task);
+        unservable.add(task);
       } else {
         kept++;
       }
     }
-    queue.removeAll(hopeless);
-    hopeless.forEach(AdmissionTask::refuse);
+    queue.removeAll(unservable);
+    unservable.forEach(AdmissionTask::refuse);
   }
 }
