--- a/gateway/src/main/java/org/oleanderstep/gateway/failover/IsolationDetector.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/failover/IsolationDetector.java
@@ -11,15 +11,15 @@
 import org.oleanderstep.gateway.control.TargetMember;
 
 /**
- * Finds the services whose primary this VM can't reach although most others can.
+ * Finds the services whose primary this VM can't reach, and which no majority of the VMs misses.
  *
  * <pre>{@code
  * Set<String> services = detector.update(members, unproved, suspects, votes, vms, now);
  * }</pre>
  *
  * <p>Answers a partition between this VM and a primary: callers are served better by the other VMs.
- * While most VMs miss a primary, moving callers helps nobody. Belongs to the control thread; times
- * are steady nanoseconds.
+ * While a majority misses a primary it is replaced, and moving callers helps nobody. Belongs to the
+ * control thread; times are steady nanoseconds.
  */
 public final class IsolationDetector {
 
@@ -48,7 +48,7 @@
         members.stream()
             .filter(TargetMember::claimsPrimary)
             .filter(member -> ownSuspects.contains(member.id()))
-            .filter(member -> votes.getOrDefault(member.id(), 0) * 2 < vms)
+            .filter(member -> votes.getOrDefault(member.id(), 0) * 2 <= vms)
             .map(TargetMember::service)
             .filter(unproved::contains)
             .collect(Collectors.toSet());
--- a/gateway/src/test/java/org/oleanderstep/gateway/failover/IsolationDetectorTest.java
+++ b/gateway/src/test/java/org/oleanderstep/gateway/failover/IsolationDetectorTest.java
@@ -41,6 +41,17 @@
         .containsExactly("main");
   }
 
+  // With half of the votes the primary is not replaced, so that callers must move.
+  @Test
+  void should_leave_no_gap_to_the_votes_that_replace_a_primary() {
+    Map<MemberId, Integer> half = Map.of(PRIMARY, 2);
+    detector.update(members, unproved, Set.of(PRIMARY), half, 4, now);
+    now += Duration.ofSeconds(2).toNanos();
+
+    assertThat(detector.update(members, unproved, Set.of(PRIMARY), half, 4, now))
+        .containsExactly("main");
+  }
+
   // The entry of a former primary that is cut off from the platform still says that it leads.
   @Test
   void should_not_rely_on_a_former_primary_that_answers() {
