--- a/core/src/main/java/org/oleanderstep/core/admission/RateShares.java
+++ b/core/src/main/java/org/oleanderstep/core/admission/RateShares.java
@@ -51,15 +51,15 @@
   private record Share(
       Limit limit, double part, TokenBucket bucket, boolean everOpen, TokenLoans loans) {
 
-    private double cap() {
-      return Math.max(LEAST_BURST, limit.burst * part);
-    }
-
     private void applyCap(long now) {
-      bucket.setCap(Math.max(0, cap() - loans.lent()), now);
+      bucket.setCap(Math.max(0, cap(limit, part) - loans.lent()), now);
     }
   }
 
+  private static double cap(Limit limit, double part) {
+    return Math.max(LEAST_BURST, limit.burst * part);
+  }
+
   private final Map<OrganisationId, Share> shares = new HashMap<>();
 
   /**
@@ -85,7 +85,7 @@
       return new Share(limit, part, TokenBucket.closed(now), everOpen, loansOf(held));
     }
     double rate = Math.max(LEAST_RATE, limit.ratePerSecond * part);
-    double cap = Math.max(LEAST_BURST, limit.burst * part);
+    double cap = cap(limit, part);
     // A process that has just started doesn't know what its VM has used, and starts without a
     // full burst.
     boolean first = held == null || !held.everOpen;
