Open one connection for a read instead of one at each member

Cause: with one connection a VM and member, as 44 connections and 38 VMs leave, a member whose connection was being opened counted as full, so each pass over the waiting requests opened a connection at the next member as well, up to three for one read. A request now waits for the connection that is being opened for it, up to 150 ms; then it prefers other members.

--- a/gateway/src/main/java/org/oleanderstep/gateway/target/LeaseRequest.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/target/LeaseRequest.java
@@ -16,6 +16,9 @@
  */
 public final class LeaseRequest {
 
+  /** Several times the usual time; a lost packet or an overloaded member delays a connection. */
+  private static final Duration MAX_CONNECTION_WAIT = Duration.ofMillis(150);
+
   /**
    * The requirements on the member.
    *
@@ -39,6 +42,8 @@
   private final Consumer<String> onRefused;
   private final Set<MemberPool> avoidedPools = new HashSet<>();
   private long notBefore;
+  private Optional<MemberPool> awaitedPool = Optional.empty();
+  private long awaitedSince;
 
   /**
    * Creates a request.
@@ -92,6 +97,29 @@
     return avoidedPools.contains(pool);
   }
 
+  /** Records that a pool opens a connection for the organisation of this request. */
+  void awaitConnectionOf(MemberPool pool, long now) {
+    if (awaitedPool.filter(awaited -> awaited == pool).isEmpty()) {
+      awaitedPool = Optional.of(pool);
+      awaitedSince = now;
+    }
+  }
+
+  /**
+   * Returns whether the recorded pool is still opening a connection. If that takes too long, the
+   * request prefers other members.
+   */
+  boolean awaitsConnection(long now) {
+    if (awaitedPool.filter(pool -> pool.isConnecting(organisation)).isEmpty()) {
+      return false;
+    }
+    if (now - awaitedSince <= MAX_CONNECTION_WAIT.toNanos()) {
+      return true;
+    }
+    avoidedPools.add(awaitedPool.get());
+    return false;
+  }
+
   void grant(Lease lease) {
     onGranted.accept(lease);
   }
--- a/gateway/src/main/java/org/oleanderstep/gateway/target/ServicePool.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/target/ServicePool.java
@@ -242,12 +242,25 @@
         request.grant(new Lease(connection.get(), requiredPosition, timeSinceReached));
         return;
       }
-      if (pool.isConnecting(request.organisation()) || pool.tryOpen(request.organisation())) {
+      if (opens(pool, request)) {
+        request.awaitConnectionOf(pool, nowNanos());
         return;
       }
     }
   }
 
+  /**
+   * Returns whether a connection for a request is being opened by a pool, and opens one if the
+   * request awaits none: a member whose only connection is being opened looks full, so the request
+   * would otherwise open one at each member.
+   */
+  private boolean opens(MemberPool pool, LeaseRequest request) {
+    if (pool.isConnecting(request.organisation())) {
+      return !request.avoids(pool);
+    }
+    return !request.awaitsConnection(nowNanos()) && pool.tryOpen(request.organisation());
+  }
+
   /** Refuses expired requests, detects unresponsive members, and samples the primary's position. */
   public void tick() {
     pools.values().forEach(pool -> pool.tick(lastOrganisation));
--- /dev/null
+++ b/gateway/src/test/java/org/oleanderstep/gateway/session/ConnectionUseTest.java
@@ -0,0 +1,85 @@
+package org.oleanderstep.gateway.session;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.oleanderstep.gateway.GatewayFixture.BOUNDED_DATABASE;
+import static org.oleanderstep.gateway.GatewayFixture.LAB_KEY;
+import static org.oleanderstep.gateway.GatewayFixture.PRIMARY_DATABASE;
+import static org.oleanderstep.gateway.GatewayFixture.SHOP_KEY;
+
+import java.time.Duration;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.oleanderstep.gateway.FakeCaller;
+import org.oleanderstep.gateway.FakeMember;
+import org.oleanderstep.gateway.Gateway;
+import org.oleanderstep.gateway.GatewayFixture;
+
+class ConnectionUseTest {
+
+  private static final Duration TYPICAL_LAG = Duration.ofMillis(200);
+
+  private final GatewayFixture fixture = new GatewayFixture();
+
+  /** Gives the VM one connection to each member, as in a large fleet. */
+  @BeforeEach
+  void allowOneConnection() {
+    fixture.setConnections(1);
+    fixture.open(PRIMARY_DATABASE, SHOP_KEY).read();
+    fixture.advanceTime(TYPICAL_LAG);
+  }
+
+  private int opened() {
+    return fixture.first.organisations.size()
+        + fixture.second.organisations.size()
+        + fixture.third.organisations.size();
+  }
+
+  /** Lets time pass without delivering messages, so that connections stay in progress. */
+  private void tickWithoutNetwork() {
+    fixture.clock.advance(Gateway.TICK_INTERVAL);
+    fixture.gateway.tick();
+  }
+
+  // A connection attempt in progress made its member look full, so that the same read opened
+  // connections to the other members too. Each of them occupies a slot there.
+  @Test
+  void should_open_one_connection_for_a_read() {
+    int before = opened();
+    FakeCaller reader = fixture.open(BOUNDED_DATABASE, LAB_KEY);
+
+    reader.send(StatementKind.READ, "READ item");
+    tickWithoutNetwork();
+    tickWithoutNetwork();
+    fixture.deliver();
+
+    assertThat(reader.last()).isInstanceOf(Answer.Success.class);
+    assertThat(opened()).isEqualTo(before + 1);
+  }
+
+  // A member that does not accept the connection in time must not hold up the read.
+  @Test
+  void should_open_a_connection_elsewhere_after_a_refusal() {
+    fixture.second.connectionLimit = 0;
+    fixture.third.connectionLimit = 0;
+    FakeCaller reader = fixture.open(BOUNDED_DATABASE, LAB_KEY);
+
+    reader.send(StatementKind.READ, "READ item");
+    fixture.deliver();
+    fixture.advanceTime(Duration.ofMillis(60));
+
+    assertThat(reader.servedBy()).isEqualTo("first");
+  }
+
+  // The first packet of a connection may be lost, and is sent again only after a second.
+  @Test
+  void should_read_elsewhere_while_a_connection_is_slow_to_open() {
+    fixture.second.fault = FakeMember.Fault.SILENT;
+    fixture.third.fault = FakeMember.Fault.SILENT;
+    FakeCaller reader = fixture.open(BOUNDED_DATABASE, LAB_KEY);
+
+    reader.send(StatementKind.READ, "READ item");
+    fixture.advanceTime(Duration.ofMillis(400));
+
+    assertThat(reader.servedBy()).isEqualTo("first");
+  }
+}
