Wait longer for members that are known to be slow

Cause: a statement without a reply for 450 ms, or one that was overtaken by 250 ms, had its connection closed whatever the member's usual time was. A primary that was only slow, such as one whose statements take five times as long, had the transactions of its callers given up, and could be suspected and replaced. A member that replies quickly is suspected as soon as before.

--- a/gateway/src/main/java/org/oleanderstep/gateway/target/MemberPool.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/target/MemberPool.java
@@ -28,11 +28,13 @@
   /** Connection attempts that take longer count as failed. */
   private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(700);
 
-  /** Time without a reply to a pending command after which a member counts as unresponsive. */
-  private static final Duration SILENCE_TIMEOUT = Duration.ofMillis(450);
+  // Time without a reply to a pending command after which a member counts as unresponsive.
+  private static final Duration MIN_SILENCE_TIMEOUT = Duration.ofMillis(450);
+  private static final Duration MAX_SILENCE_TIMEOUT = Duration.ofMillis(1_200);
 
-  /** A reply counts as lost if the member has answered a command that was sent this much later. */
-  private static final Duration OVERTAKEN_REPLY_TIMEOUT = Duration.ofMillis(250);
+  // A reply counts as lost if the member has answered a command that was sent this much later.
+  private static final Duration MIN_OVERTAKEN_TIMEOUT = Duration.ofMillis(250);
+  private static final Duration MAX_OVERTAKEN_TIMEOUT = Duration.ofSeconds(1);
 
   /** Time within which a replica typically receives and applies a commit. */
   private static final Duration TYPICAL_REPLICATION_LAG = Duration.ofMillis(120);
@@ -64,6 +66,7 @@
   private final List<PooledConnection> connections = new ArrayList<>();
   private final List<ConnectAttempt> attempts = new ArrayList<>();
   private final Map<OrganisationId, Integer> attemptCounts = new HashMap<>();
+  private final ReplyLatency latency;
   private TargetMember member;
   private int limit;
   private boolean removed;
@@ -92,6 +95,7 @@
     this.log = log;
     this.onCapacityAvailable = onCapacityAvailable;
     long now = clock.nanoTime();
+    latency = new ReplyLatency(now);
     openNotBefore = now;
     notPrimaryUntil = now;
     behindUntil = now;
@@ -346,6 +350,7 @@
 
   void onReply(TargetReply reply, long sentAt) {
     recordReply();
+    latency.record(now() - sentAt, now());
     lastAnsweredSentAt = Math.max(lastAnsweredSentAt, sentAt);
     updatePosition(reply.position());
     if (reply.answer() instanceof Answer.Failure failure
@@ -396,10 +401,10 @@
         onRefused(Optional.empty(), "the member did not answer the connection attempt");
       }
     }
+    long silenceTimeout = latency.timeoutNanos(MIN_SILENCE_TIMEOUT, MAX_SILENCE_TIMEOUT, now);
     for (PooledConnection connection : List.copyOf(connections)) {
-      if (connection.hasUnansweredCommand(now, SILENCE_TIMEOUT.toNanos())
-          || isOvertaken(connection)) {
-        onSilent(connection);
+      if (connection.hasUnansweredCommand(now, silenceTimeout) || isOvertaken(connection)) {
+        onSilent(connection, silenceTimeout);
       }
     }
     if (isFailing() && !removed && attempts.isEmpty()) {
@@ -408,11 +413,12 @@
   }
 
   private boolean isOvertaken(PooledConnection connection) {
-    return connection.hasUnansweredCommand(lastAnsweredSentAt, OVERTAKEN_REPLY_TIMEOUT.toNanos());
+    long timeout = latency.timeoutNanos(MIN_OVERTAKEN_TIMEOUT, MAX_OVERTAKEN_TIMEOUT, now());
+    return connection.hasUnansweredCommand(lastAnsweredSentAt, timeout);
   }
 
-  private void onSilent(PooledConnection connection) {
-    if (now() - lastReplyAt > SILENCE_TIMEOUT.toNanos()) {
+  private void onSilent(PooledConnection connection, long silenceTimeout) {
+    if (now() - lastReplyAt > silenceTimeout) {
       recordFailure("no reply");
     }
     // The reply to a write may still arrive; a read can be retried on another member.
--- a/gateway/src/test/java/org/oleanderstep/gateway/session/ConnectionUseTest.java
+++ b/gateway/src/test/java/org/oleanderstep/gateway/session/ConnectionUseTest.java
@@ -82,4 +82,28 @@
 
     assertThat(reader.servedBy()).isEqualTo("first");
   }
+
+  /** Lets a member take some time for its replies. */
+  private void replyAfter(Duration time) {
+    for (Duration t = Duration.ZERO; t.compareTo(time) < 0; t = t.plus(Gateway.TICK_INTERVAL)) {
+      tickWithoutNetwork();
+    }
+    fixture.deliver();
+  }
+
+  // A primary that was only slow had the transactions of its callers given up.
+  @Test
+  void should_not_give_up_the_transaction_of_a_slow_member() {
+    FakeCaller caller = fixture.open(PRIMARY_DATABASE, SHOP_KEY);
+    caller.run(StatementKind.BEGIN, "BEGIN");
+    caller.send(StatementKind.READ, "READ item");
+    replyAfter(Duration.ofMillis(300));
+    assertThat(caller.last()).isInstanceOf(Answer.Success.class);
+
+    caller.send(StatementKind.READ, "READ item");
+    replyAfter(Duration.ofMillis(500));
+
+    assertThat(caller.last()).isInstanceOf(Answer.Success.class);
+    assertThat(caller.status).isEqualTo(SessionStatus.IN_TRANSACTION);
+  }
 }
