Give the token back of an operation that reached no member

An operation of which nothing was sent now returns its token to the bucket, or to a VM with a share of the rate; the caps of the buckets still limit the sum. Keeping returned tokens on a VM without a share was tried and dropped: it could exceed the rate by up to a second's worth.

--- a/core/src/main/java/org/oleanderstep/core/admission/RateLimiter.java
+++ b/core/src/main/java/org/oleanderstep/core/admission/RateLimiter.java
@@ -167,6 +167,12 @@
     }
   }
 
+  /** Returns whether this VM has a share of an organisation's rate. */
+  public boolean hasShare(OrganisationId organisation) {
+    Allocation allocation = allocations.get(organisation);
+    return allocation != null && allocation.share > 0;
+  }
+
   /** Returns the tokens that are available to an organisation on this VM. */
   public double tokens(OrganisationId organisation, long now) {
     Allocation allocation = allocations.get(organisation);
--- a/core/src/main/java/org/oleanderstep/core/admission/TokenBorrower.java
+++ b/core/src/main/java/org/oleanderstep/core/admission/TokenBorrower.java
@@ -102,6 +102,13 @@
     return best.map(candidate -> createRequest(peers, organisation, candidate, missing, now));
   }
 
+  /** Returns the VM with the largest share of an organisation's rate, if any has one. */
+  public Optional<VmId> selectLender(OrganisationId organisation) {
+    return shares.getOrDefault(organisation, Map.of()).entrySet().stream()
+        .max(Map.Entry.comparingByValue())
+        .map(Map.Entry::getKey);
+  }
+
   private record Candidate(VmId vm, double tokens) {}
 
   private double estimate(
--- a/gateway/src/main/java/org/oleanderstep/gateway/session/AdmissionQueues.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/session/AdmissionQueues.java
@@ -82,6 +82,25 @@
     return index;
   }
 
+  /**
+   * Returns the token of an admitted operation that was refused before anything was sent to a
+   * member. While members accept no statements, callers that retry would otherwise use up the rate
+   * without being served. A VM without a share returns the token to one that has a share.
+   */
+  void returnToken(OrganisationId organisation) {
+    if (rates.hasShare(organisation)) {
+      onReturned(organisation, 1);
+    } else {
+      borrower.selectLender(organisation).ifPresent(vm -> lenders.giveBack(vm, organisation));
+    }
+  }
+
+  /** Adds tokens that another VM has not used; those above the limit of this VM are dropped. */
+  public void onReturned(OrganisationId organisation, int tokens) {
+    rates.addTokens(organisation, tokens, clock.read().monotonicNanos());
+    serve(organisation);
+  }
+
   /** Removes an operation whose caller has disconnected. */
   void cancel(AdmissionTask task) {
     queue(task.organisation()).remove(task);
--- a/gateway/src/main/java/org/oleanderstep/gateway/session/SingleStatementTask.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/session/SingleStatementTask.java
@@ -89,10 +89,17 @@
   }
 
   private void onRefused(String reason) {
+    returnUnusedToken();
     String text = lastFailure.isEmpty() ? reason : reason + "; " + lastFailure;
     finish(new Answer.Failure(FailureCode.OVERLOADED, text), Optional.empty());
   }
 
+  private void returnUnusedToken() {
+    if (attempts == 0) {
+      environment.admission().returnToken(organisation);
+    }
+  }
+
   private void onGranted(Lease lease) {
     connection = lease.connection();
     lastLease = Optional.of(lease);
@@ -292,6 +299,7 @@
     service.cancel(request);
     PooledConnection held = connection;
     if (!sent) {
+      returnUnusedToken();
       finish(new Answer.Failure(FailureCode.OVERLOADED, lastFailure), Optional.empty());
       return;
     }
--- a/gateway/src/main/java/org/oleanderstep/gateway/session/TokenLenders.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/session/TokenLenders.java
@@ -1,6 +1,8 @@
 package org.oleanderstep.gateway.session;
 
 import org.oleanderstep.core.admission.TokenBorrower;
+import org.oleanderstep.core.model.OrganisationId;
+import org.oleanderstep.core.model.VmId;
 
 /** Sends token messages to the other VMs. Messages may be lost, delayed or duplicated. */
 public interface TokenLenders {
@@ -10,4 +12,7 @@
 
   /** Confirms to the lender that its tokens have arrived. */
   void confirm(TokenBorrower.LoanRequest ask);
+
+  /** Gives an unused token back to a VM that has a share of the organisation's rate. */
+  void giveBack(VmId lender, OrganisationId organisation);
 }
--- a/gateway/src/main/java/org/oleanderstep/gateway/session/TransactionStatementTask.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/session/TransactionStatementTask.java
@@ -85,12 +85,19 @@
             now(),
             QueueLimit.expiresAt(arrivedAt, route.timeout(), attempts),
             this::begin,
-            reason -> fail(FailureCode.OVERLOADED, reason));
+            this::onRefused);
     request = Optional.of(created);
     transaction.service().submit(created);
     return created;
   }
 
+  private void onRefused(String reason) {
+    if (attempts == 0) {
+      environment.admission().returnToken(organisation);
+    }
+    fail(FailureCode.OVERLOADED, reason);
+  }
+
   private void begin(Lease lease) {
     attempts++;
     PooledConnection connection = lease.connection();
--- a/gateway/src/test/java/org/oleanderstep/gateway/GatewayFixture.java
+++ b/gateway/src/test/java/org/oleanderstep/gateway/GatewayFixture.java
@@ -9,6 +9,7 @@
 import org.oleanderstep.core.admission.RateLimiter;
 import org.oleanderstep.core.admission.TokenBorrower;
 import org.oleanderstep.core.model.OrganisationId;
+import org.oleanderstep.core.model.VmId;
 import org.oleanderstep.core.position.LogPosition;
 import org.oleanderstep.gateway.control.GatewayConfiguration;
 import org.oleanderstep.gateway.control.GatewayRoute;
@@ -28,6 +29,7 @@
   public static final String BOUNDED_DATABASE = "stock";
   public static final String READ_YOUR_WRITES_DATABASE = "quotes";
   public static final Duration TIMEOUT = Duration.ofMillis(800);
+  private static final Duration STEADY_STATE_AGE = Duration.ofSeconds(5);
   private static final String SERVICE = "main";
   private static final double RATE = 10_000;
 
@@ -40,6 +42,7 @@
       Map.of("first", first, "second", second, "third", third);
   public final List<TokenBorrower.LoanRequest> tokenRequests = new ArrayList<>();
   public final List<TokenBorrower.LoanRequest> confirmedTokenRequests = new ArrayList<>();
+  public final List<VmId> tokensGivenBackTo = new ArrayList<>();
   public final Gateway gateway =
       new Gateway(
           "zone",
@@ -58,17 +61,28 @@
             public void confirm(TokenBorrower.LoanRequest ask) {
               confirmedTokenRequests.add(ask);
             }
+
+            @Override
+            public void giveBack(VmId lender, OrganisationId organisation) {
+              tokensGivenBackTo.add(lender);
+            }
           });
   private Map<String, OrganisationId> keys = Map.of(SHOP_KEY, SHOP, LAB_KEY, LAB);
   private double rate = RATE;
   private int connections = 16;
   private long version;
 
+  /** Creates a gateway that has been running for some time. */
   public GatewayFixture() {
+    this(STEADY_STATE_AGE);
+  }
+
+  /** Creates a gateway that started some time ago. */
+  public GatewayFixture(Duration age) {
     publishConfiguration();
     gateway.updateRateShares(Map.of(SHOP, 1.0, LAB, 1.0));
     publishMembers();
-    advanceTime(Gateway.TICK_INTERVAL);
+    advanceTime(age);
   }
 
   /** Publishes the current declarations as a new configuration version. */
--- a/gateway/src/test/java/org/oleanderstep/gateway/session/AdmissionQueuesTest.java
+++ b/gateway/src/test/java/org/oleanderstep/gateway/session/AdmissionQueuesTest.java
@@ -146,4 +146,76 @@
     fixture.gateway.updateLenders(Map.of(SHOP, Map.of(new VmId("other"), 0.5)));
     fixture.tokenRequests.clear();
   }
+
+  /** A gateway whose organisation has two tokens, and no member for its operations. */
+  private GatewayFixture withoutPrimary() {
+    GatewayFixture without = new GatewayFixture();
+    without.setRate(2);
+    without.gateway.updateRateShares(Map.of(SHOP, 1.0));
+    without.first.claimsPrimary = false;
+    without.publishMembers();
+    without.advanceTime(Duration.ofSeconds(2));
+    return without;
+  }
+
+  private static List<FakeCaller> refusedWithoutPrimary(GatewayFixture without) {
+    List<FakeCaller> callers = new ArrayList<>();
+    for (int i = 0; i < 2; i++) {
+      FakeCaller caller = without.open(PRIMARY_DATABASE, SHOP_KEY);
+      caller.send(StatementKind.READ, "READ item");
+      callers.add(caller);
+    }
+    without.advanceTime(Duration.ofMillis(500));
+    callers.forEach(caller -> assertThat(caller.failure()).isEqualTo(FailureCode.OVERLOADED));
+    without.first.claimsPrimary = true;
+    without.publishMembers();
+    return callers;
+  }
+
+  // While no member can serve them, callers retry. If each try used a token, they would be refused
+  // as over their rate when the member is back.
+  @Test
+  void should_not_count_operations_that_reached_no_member() {
+    GatewayFixture without = withoutPrimary();
+    List<FakeCaller> callers = refusedWithoutPrimary(without);
+
+    callers.forEach(FakeCaller::read);
+
+    assertThat(refused(callers)).isEqualTo(0);
+  }
+
+  // Only a VM with a share may keep tokens: the shares limit the sum over all VMs.
+  @Test
+  void should_give_a_borrowed_token_back_that_was_not_used() {
+    GatewayFixture without = withoutPrimary();
+    VmId lender = new VmId("other");
+    without.gateway.updateRateShares(Map.of());
+    without.gateway.updateLenders(Map.of(SHOP, Map.of(lender, 1.0)));
+    FakeCaller caller = without.open(PRIMARY_DATABASE, SHOP_KEY);
+
+    caller.send(StatementKind.READ, "READ item");
+    TokenBorrower.LoanRequest ask = without.tokenRequests.get(0);
+    without.gateway.admission().onReply(new TokenBorrower.LoanReply(ask.id(), 1, 0));
+    without.advanceTime(Duration.ofMillis(500));
+
+    assertThat(caller.failure()).isEqualTo(FailureCode.OVERLOADED);
+    assertThat(without.tokensGivenBackTo).containsExactly(lender);
+  }
+
+  // Returned tokens must not add up to a burst above the limit.
+  @Test
+  void should_not_keep_returned_tokens_above_the_limit() {
+    GatewayFixture without = withoutPrimary();
+    refusedWithoutPrimary(without);
+    without.gateway.admission().onReturned(SHOP, 100);
+    List<FakeCaller> callers = new ArrayList<>();
+
+    for (int i = 0; i < 4; i++) {
+      FakeCaller caller = without.open(PRIMARY_DATABASE, SHOP_KEY);
+      caller.read();
+      callers.add(caller);
+    }
+
+    assertThat(refused(callers)).isEqualTo(2);
+  }
 }
