Leave unused connections to other VMs while connections are scarce

Cause: a member counts the connections of VMs that have lost power for three seconds. For four seconds after a start, where the limit of a VM is at most two, and after each refusal for too many connections, a VM closes a connection that it does not use. Connections that are idle at a refusal are closed at once.

--- a/gateway/src/main/java/org/oleanderstep/gateway/target/MemberPool.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/target/MemberPool.java
@@ -48,6 +48,15 @@
   private static final Duration BEHIND_RETRY_DELAY = Duration.ofMillis(250);
   private static final Duration MAX_DRAIN_TIME = Duration.ofMillis(4_500);
 
+  /**
+   * Time after a start or a refusal for which connections are scarce: the member still counts those
+   * of VMs that have lost power.
+   */
+  private static final Duration SCARCITY_PERIOD = Duration.ofSeconds(4);
+
+  /** With a larger limit, the VMs together leave enough connections unused. */
+  private static final int MAX_SCARCE_LIMIT = 2;
+
   private static final class ConnectAttempt {
     private final OrganisationId organisation;
     private final long startedAt;
@@ -80,6 +89,8 @@
   private LogPosition behindPosition = LogPosition.START;
   private long lastReplyAt;
   private long lastAnsweredSentAt;
+  private final long createdAt;
+  private Optional<Long> fullSince = Optional.empty();
 
   MemberPool(
       TargetMember member,
@@ -101,6 +112,7 @@
     behindUntil = now;
     lastReplyAt = now;
     lastAnsweredSentAt = now;
+    createdAt = now;
     updateDraining();
   }
 
@@ -316,6 +328,10 @@
     } else {
       recordReply();
       wrongTarget = code.get() == FailureCode.WRONG_TARGET;
+      if (code.get() == FailureCode.TOO_MANY_CONNECTIONS) {
+        fullSince = Optional.of(now());
+        closeIdle("the member accepts no more connections");
+      }
       backoff = BACKOFF_AFTER_REFUSAL;
     }
     openNotBefore = now() + backoff.toNanos();
@@ -386,6 +402,18 @@
       return;
     }
     onCapacityAvailable.run();
+    if (!connection.isLeased() && areConnectionsScarce()) {
+      connection.close("leaves the connection to other VMs while connections are scarce");
+    }
+  }
+
+  private boolean areConnectionsScarce() {
+    boolean recentStart = limit <= MAX_SCARCE_LIMIT && isInScarcityPeriod(createdAt);
+    return recentStart || fullSince.filter(this::isInScarcityPeriod).isPresent();
+  }
+
+  private boolean isInScarcityPeriod(long start) {
+    return now() - start < SCARCITY_PERIOD.toNanos();
   }
 
   private boolean acceptsWork() {
--- a/gateway/src/test/java/org/oleanderstep/gateway/session/ConnectionUseTest.java
+++ b/gateway/src/test/java/org/oleanderstep/gateway/session/ConnectionUseTest.java
@@ -83,6 +83,36 @@
     assertThat(reader.servedBy()).isEqualTo("first");
   }
 
+  // After all VMs have lost power, a member counts their former connections for some seconds. If
+  // the first VMs to return kept the few that are left, the others could serve nothing.
+  @Test
+  void should_leave_an_unused_connection_to_other_vms_while_connections_are_scarce() {
+    GatewayFixture started = new GatewayFixture(Gateway.TICK_INTERVAL);
+    started.setConnections(1);
+
+    started.open(PRIMARY_DATABASE, SHOP_KEY).read();
+    assertThat(started.first.openConnections).isEqualTo(0);
+
+    started.advanceTime(Duration.ofSeconds(5));
+    started.open(PRIMARY_DATABASE, SHOP_KEY).read();
+    assertThat(started.first.openConnections).isEqualTo(1);
+  }
+
+  @Test
+  void should_leave_unused_connections_to_other_vms_after_a_refusal() {
+    fixture.setConnections(8);
+    fixture.first.connectionLimit = 0;
+    FakeCaller caller = fixture.open(PRIMARY_DATABASE, LAB_KEY);
+    caller.send(StatementKind.READ, "READ item");
+    fixture.deliver();
+    fixture.first.connectionLimit = 100;
+
+    fixture.advanceTime(Duration.ofMillis(100));
+
+    assertThat(caller.servedBy()).isEqualTo("first");
+    assertThat(fixture.first.openConnections).isEqualTo(0);
+  }
+
   /** Lets a member take some time for its replies. */
   private void replyAfter(Duration time) {
     for (Duration t = Duration.ZERO; t.compareTo(time) < 0; t = t.plus(Gateway.TICK_INTERVAL)) {
