--- a/core/src/main/java/org/oleanderstep/core/admission/RateClaimPlanner.java
+++ b/core/src/main/java/org/oleanderstep/core/admission/RateClaimPlanner.java
@@ -48,6 +48,9 @@
   /** Operations of burst that the share of a VM must cover to be useful. */
   private static final double MIN_BURST_PER_VM = 4;
 
+  /** With a single holder, its loss would leave an organisation without any tokens. */
+  private static final int MIN_HOLDERS = 2;
+
   /**
    * Maximum number of VMs among which a rate is divided by demand. Each VM that publishes its
    * demand changes the object that all VMs read, so more VMs than this borrow instead.
@@ -119,7 +122,9 @@
   }
 
   private static int holders(RateLimiter.Limit limit, int vms) {
-    return (int) Math.max(1, Math.min(vms, limit.burst() / MIN_BURST_PER_VM));
+    int covered = (int) (limit.burst() / MIN_BURST_PER_VM);
+    int spread = limit.burst() >= MIN_HOLDERS ? MIN_HOLDERS : 1;
+    return Math.min(vms, Math.max(spread, covered));
   }
 
   /**
--- a/core/src/test/java/org/oleanderstep/core/admission/RateClaimPlannerTest.java
+++ b/core/src/test/java/org/oleanderstep/core/admission/RateClaimPlannerTest.java
@@ -203,6 +203,19 @@
     assertThat(total()).isWithin(TOLERANCE).of(1);
   }
 
+  // Otherwise the loss of one VM would leave the organisation without tokens until its claims
+  // expire.
+  @Test
+  void should_divide_a_rate_over_two_vms_even_if_its_burst_is_very_small() {
+    Map<OrganisationId, RateLimiter.Limit> small = Map.of(SHOP, new RateLimiter.Limit(5, 5));
+
+    claims =
+        new RateClaimPlanner(VMS.get(0))
+            .plan(claims, Map.of(), small, new RateClaimPlanner.Vms(ALL, ALL));
+
+    assertThat(VMS.stream().filter(vm -> claims.claimedBy(SHOP, vm) > 0).count()).isEqualTo(2);
+  }
+
   // With many VMs, a change by each of them would cost as many calls, so one write must suffice.
   @Test
   void should_not_change_equal_shares_once_they_are_claimed() {
--- a/gateway/src/main/java/org/oleanderstep/gateway/target/ServicePool.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/target/ServicePool.java
@@ -39,7 +39,8 @@
    */
   private static final Duration STALENESS_MARGIN = Duration.ofMillis(500);
 
-  private static final Duration SAMPLE_INTERVAL = Duration.ofMillis(300);
+  /** Each VM samples each primary, so that a shorter interval is costly in a large fleet. */
+  private static final Duration SAMPLE_INTERVAL = Duration.ofMillis(500);
 
   /** Several sample intervals, because some of them may find no idle connection. */
   private static final Duration CONFIRMATION_VALIDITY = Duration.ofSeconds(1);
