Let statements use spare connections of a member instead of waiting for a transaction

A VM whose connections are all in use may now open up to two more where its limit is one or two, unless the member has refused a connection in the last four seconds; they are closed after use. Most VMs use less than their limit at any moment. The test showed the refusal before.

should_wait_for_the_primary_while_the_replicas_lag_behind stands for a primary whose connections are all in use; the primary now accepts no more, as otherwise a spare connection serves the read earlier.

--- a/gateway/src/main/java/org/oleanderstep/gateway/target/MemberPool.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/target/MemberPool.java
@@ -57,6 +57,12 @@
   /** With a larger limit, the VMs together leave enough connections unused. */
   private static final int MAX_SCARCE_LIMIT = 2;
 
+  /**
+   * Connections above a small limit, for statements that would otherwise wait for the end of a
+   * transaction. They are closed after use.
+   */
+  private static final int SPARE_CONNECTIONS = 2;
+
   private static final class ConnectAttempt {
     private final OrganisationId organisation;
     private final long startedAt;
@@ -249,13 +255,20 @@
     if (removed || wrongTarget || now() - openNotBefore < 0) {
       return false;
     }
-    if (connections.size() + attempts.size() >= limit && !evictIdle()) {
+    if (connections.size() + attempts.size() >= limit && !evictIdle() && !mayUseSpare()) {
       return false;
     }
     open(organisation);
     return true;
   }
 
+  /** Most VMs use fewer connections than their limit, so a member usually has some to spare. */
+  private boolean mayUseSpare() {
+    return limit <= MAX_SCARCE_LIMIT
+        && !areConnectionsScarce()
+        && connections.size() + attempts.size() < limit + SPARE_CONNECTIONS;
+  }
+
   private boolean evictIdle() {
     if (connections.size() + attempts.size() > limit) {
       return false;
--- a/gateway/src/test/java/org/oleanderstep/gateway/session/ConnectionUseTest.java
+++ b/gateway/src/test/java/org/oleanderstep/gateway/session/ConnectionUseTest.java
@@ -83,6 +83,39 @@
     assertThat(reader.servedBy()).isEqualTo("first");
   }
 
+  // A caller that pauses inside a transaction holds the only connection of its VM to the primary.
+  @Test
+  void should_serve_others_while_a_transaction_holds_the_only_connection() {
+    FakeCaller resting = fixture.open(PRIMARY_DATABASE, SHOP_KEY);
+    resting.run(StatementKind.BEGIN, "BEGIN");
+    resting.read();
+
+    FakeCaller other = fixture.open(PRIMARY_DATABASE, LAB_KEY);
+    other.write();
+
+    assertThat(other.last()).isInstanceOf(Answer.Success.class);
+    assertThat(fixture.first.openConnections).isEqualTo(1);
+    assertThat(resting.run(StatementKind.COMMIT, "COMMIT")).isInstanceOf(Answer.Success.class);
+  }
+
+  // The spare connections of a member are shared by all VMs.
+  @Test
+  void should_not_exceed_its_limit_while_the_member_is_full() {
+    FakeCaller resting = fixture.open(PRIMARY_DATABASE, SHOP_KEY);
+    resting.run(StatementKind.BEGIN, "BEGIN");
+    resting.read();
+    fixture.first.connectionLimit = 1;
+    FakeCaller other = fixture.open(PRIMARY_DATABASE, LAB_KEY);
+    other.send(StatementKind.WRITE, "WRITE item data");
+    fixture.advanceTime(Duration.ofMillis(100));
+    fixture.first.connectionLimit = 100;
+
+    fixture.advanceTime(Duration.ofMillis(200));
+
+    assertThat(other.answers).isEmpty();
+    assertThat(fixture.first.openConnections).isEqualTo(1);
+  }
+
   // After all VMs have lost power, a member counts their former connections for some seconds. If
   // the first VMs to return kept the few that are left, the others could serve nothing.
   @Test
--- a/gateway/src/test/java/org/oleanderstep/gateway/session/SessionConsistencyTest.java
+++ b/gateway/src/test/java/org/oleanderstep/gateway/session/SessionConsistencyTest.java
@@ -130,6 +130,7 @@
     FakeCaller holder = open(PRIMARY_DATABASE);
     holder.run(StatementKind.BEGIN, "BEGIN");
     holder.write();
+    fixture.first.connectionLimit = fixture.first.openConnections;
 
     caller.send(StatementKind.READ, "READ item");
     fixture.advanceTime(Duration.ofMillis(100));
