Look for the primary of a group until there is one before a fault is injected

The scenario that failed was the first of its process each time, where the first gRPC call loads its classes, and the failures came beside load. A group in the middle of a failover has none for a moment either.

--- a/load/src/main/java/org/oleanderstep/load/fault/FaultActions.java
+++ b/load/src/main/java/org/oleanderstep/load/fault/FaultActions.java
@@ -19,22 +19,28 @@
   private static final String PRIMARY = "primary/";
   private static final String PLATFORM = "platform";
 
+  /** Longer than the proxies take to replace a primary on a busy machine. */
+  private static final Duration PRIMARY_LIMIT = Duration.ofSeconds(15);
+
   private final Fleet fleet;
 
   FaultActions(Fleet fleet) {
     this.fleet = fleet;
   }
 
-  /** Returns the process that a subject names now. */
-  String resolve(String subject) {
+  /** Returns the process that a subject names now; waits for a primary that is being replaced. */
+  String resolve(String subject) throws InterruptedException {
     if (!subject.startsWith(PRIMARY)) {
       return subject;
     }
     String database = subject.substring(PRIMARY.length());
     return fleet
         .group(database)
-        .primary()
-        .orElseThrow(() -> new IllegalStateException(database + " has no primary"));
+        .awaitPrimary(PRIMARY_LIMIT)
+        .orElseThrow(
+            () ->
+                new IllegalStateException(
+                    database + " has had no primary for " + PRIMARY_LIMIT.toSeconds() + " s"));
   }
 
   void begin(Fault fault, String subject) throws IOException, InterruptedException {
--- a/load/src/main/java/org/oleanderstep/load/fleet/GroupAccess.java
+++ b/load/src/main/java/org/oleanderstep/load/fleet/GroupAccess.java
@@ -9,7 +9,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -19,7 +18,6 @@
 import org.oleanderstep.schema.v1.GroupControlGrpc;
 import org.oleanderstep.schema.v1.MemberStatus;
 import org.oleanderstep.schema.v1.MemberStatusRequest;
-import org.oleanderstep.schema.v1.Role;
 
 /** Test access to the members of one database group, past all relays. */
 public final class GroupAccess {
@@ -38,10 +36,12 @@
 
   /** Returns the name of the process of the primary of the highest term, if a member is one. */
   public Optional<String> primary() {
-    return statuses().stream()
-        .filter(status -> status.getRole() == Role.PRIMARY)
-        .max(Comparator.comparingLong(MemberStatus::getTerm))
-        .map(status -> "member/" + status.getMember());
+    return PrimaryLookup.find(statuses());
+  }
+
+  /** Returns the name of the process of the primary; empty if there is none within the limit. */
+  public Optional<String> awaitPrimary(Duration limit) throws InterruptedException {
+    return PrimaryLookup.await(this::statuses, limit, System::nanoTime);
   }
 
   /** Returns the status of each member that answers. */
