--- a/load/src/test/java/org/oleanderstep/load/FleetScenarioIT.java
+++ b/load/src/test/java/org/oleanderstep/load/FleetScenarioIT.java
@@ -3,7 +3,6 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import java.nio.file.Path;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -24,6 +23,7 @@
   @ParameterizedTest
   @ValueSource(
       strings = {
+        "primary-cut-but-two-proxies-reach-it",
         "primary-frozen",
         "platform-down-during-failover",
         "proxy-frozen-during-failover",
@@ -35,14 +35,6 @@
     runAndCheck(scenario);
   }
 
-  /** Scenarios that are listed in KNOWN-RED.txt; the check is the same. */
-  @Tag("known-red")
-  @ParameterizedTest
-  @ValueSource(strings = "primary-cut-but-two-proxies-reach-it")
-  void should_hold_every_invariant_in_known_red_scenarios(String scenario) throws Exception {
-    runAndCheck(scenario);
-  }
-
   private void runAndCheck(String scenario) throws Exception {
     Verdict verdict =
         Experiment.load(SCENARIOS.resolve(scenario + ".json")).run(directory.resolve(scenario));
