Pick ports for test servers outside of the range of outgoing connections

TestGroup let the kernel choose a free port and closed it again; until the member listened on it, any outgoing connection of the machine could get the same port. Ruled out: a member left over from another test (each test has its own ports and directories). The members' own fixture and the load tool already avoided that range, each with code of its own. One class, FreePorts, now serves all of them; a port is not picked twice by one process either. FreePortsTest, GroupFailoverTest and RunningProxyTest pass; the old way of choosing fails the first check of FreePortsTest by its definition (ports from 32768 up).

--- a/cli/src/test/java/org/oleanderstep/cli/RunningProxyTest.java
+++ b/cli/src/test/java/org/oleanderstep/cli/RunningProxyTest.java
@@ -3,8 +3,6 @@
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
@@ -20,6 +18,7 @@
 import org.oleanderstep.schema.v1.TargetSettings;
 import org.oleanderstep.schema.v1.Vm;
 import org.oleanderstep.schema.v1.VmKind;
+import org.oleanderstep.standins.FreePorts;
 import org.oleanderstep.standins.platform.PlatformServer;
 
 @Timeout(value = 30, unit = TimeUnit.SECONDS)
@@ -82,10 +81,7 @@
   // A proxy that does not respond must not be reported as up to date.
   @Test
   void should_report_a_proxy_that_does_not_respond() throws Exception {
-    int unusedPort;
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      unusedPort = socket.getLocalPort();
-    }
+    int unusedPort = FreePorts.next();
     CommandRun run =
         CommandRun.of(
             "status",
--- a/load/src/main/java/org/oleanderstep/load/fleet/Fleet.java
+++ b/load/src/main/java/org/oleanderstep/load/fleet/Fleet.java
@@ -25,6 +25,7 @@
 import org.oleanderstep.schema.v1.Service;
 import org.oleanderstep.schema.v1.Vm;
 import org.oleanderstep.schema.v1.VmKind;
+import org.oleanderstep.standins.FreePorts;
 
 /**
  * A running fleet: one platform, the members of all declared databases, and proxies, each a process
@@ -94,7 +95,7 @@
   }
 
   private void startPlatform() throws IOException, InterruptedException {
-    int port = Ports.free(1).get(0);
+    int port = FreePorts.next();
     Path file = settings.platform(port);
     platform = standin("platform", PLATFORM_HEAP_MIB, "platform", file);
     platformRelay =
@@ -132,7 +133,7 @@
   private void createGroup(String group, Database database) throws IOException {
     List<MemberNode> nodes = new ArrayList<>();
     for (Member member : database.getMembersList()) {
-      List<Integer> ports = Ports.free(2);
+      List<Integer> ports = FreePorts.next(2);
       String name = "member/" + member.getName();
       Path file = spec.directory().resolve("member-" + member.getName() + ".json");
       ManagedProcess process = standin(name, MEMBER_HEAP_MIB, "member", file);
@@ -160,7 +161,7 @@
   }
 
   private void createProxies() throws IOException, InterruptedException {
-    List<Integer> ports = Ports.free(3 * spec.proxies());
+    List<Integer> ports = FreePorts.next(3 * spec.proxies());
     List<String> peers = new ArrayList<>();
     for (int i = 0; i < spec.proxies(); i++) {
       peers.add("127.0.0.1:" + ports.get(3 * i + 1));
--- a/proxy/src/test/java/org/oleanderstep/proxy/internal/traffic/TestGroup.java
+++ b/proxy/src/test/java/org/oleanderstep/proxy/internal/traffic/TestGroup.java
@@ -1,9 +1,5 @@
 package org.oleanderstep.proxy.internal.traffic;
 
-import java.io.IOException;
-import java.io.UncheckedIOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.file.Path;
 import java.sql.Connection;
 import java.sql.DriverManager;
@@ -16,6 +12,7 @@
 import org.oleanderstep.schema.v1.MemberPeer;
 import org.oleanderstep.schema.v1.MemberSettings;
 import org.oleanderstep.schema.v1.Role;
+import org.oleanderstep.standins.FreePorts;
 import org.oleanderstep.standins.member.Member;
 
 /** A group of three stand-in members a, b and c in this process; a is the initial primary. */
@@ -45,7 +42,7 @@
     this.connections = connections;
     List<String> names = List.of("a", "b", "c");
     Map<String, String> controls = new HashMap<>();
-    names.forEach(name -> controls.put(name, "127.0.0.1:" + freePort()));
+    names.forEach(name -> controls.put(name, "127.0.0.1:" + FreePorts.next()));
     for (String name : names) {
       MemberSettings.Builder settings =
           MemberSettings.newBuilder()
@@ -87,14 +84,6 @@
     return status.getRole() == Role.PRIMARY && status.getHasMajority();
   }
 
-  private static int freePort() {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return socket.getLocalPort();
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
-    }
-  }
-
   /** Makes proxies that start after this call connect to a member through a relay. */
   void connectThrough(String name, LossyRelay relay) {
     relays.put(name, relay.address());
--- a/standins/src/test/java/org/oleanderstep/standins/member/GroupFixture.java
+++ b/standins/src/test/java/org/oleanderstep/standins/member/GroupFixture.java
@@ -8,8 +8,6 @@
 import io.grpc.netty.NettyChannelBuilder;
 import java.io.BufferedReader;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -22,9 +20,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Random;
-import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
@@ -41,6 +36,7 @@
 import org.oleanderstep.schema.v1.PromoteReply;
 import org.oleanderstep.schema.v1.PromoteRequest;
 import org.oleanderstep.schema.v1.Role;
+import org.oleanderstep.standins.FreePorts;
 
 /** Three members a, b and c in this process; a is the initial primary. */
 final class GroupFixture implements AutoCloseable {
@@ -49,10 +45,6 @@
   static final String PASSWORD = "secret";
   private static final Duration WAIT_LIMIT = Duration.ofSeconds(10);
   private static final long POLL_MILLIS = 5;
-  private static final int FIRST_PORT = 20_000;
-  private static final int PORT_COUNT = 12_000;
-  private static final Random PORTS = new Random();
-  private static final Set<Integer> USED_PORTS = ConcurrentHashMap.newKeySet();
 
   private final Map<String, MemberSettings> settings = new LinkedHashMap<>();
   private final Map<String, Member> members = new HashMap<>();
@@ -67,14 +59,14 @@
     List<String> names = List.of("a", "b", "c");
     Map<String, String> controls = new HashMap<>();
     for (String name : names) {
-      controls.put(name, "127.0.0.1:" + freePort());
+      controls.put(name, "127.0.0.1:" + FreePorts.next());
     }
     for (String name : names) {
       MemberSettings.Builder member =
           MemberSettings.newBuilder()
               .setName(name)
               .setFailureDomain(name)
-              .setSqlAddress("127.0.0.1:" + freePort())
+              .setSqlAddress("127.0.0.1:" + FreePorts.next())
               .setControlAddress(controls.get(name))
               .setConnections(16)
               .setSlots(4)
@@ -92,24 +84,6 @@
     }
   }
 
-  /**
-   * Picks a port that members know of each other before they start, and keep over restarts. Ports
-   * of the range that the system gives to outgoing connections are taken again too easily.
-   */
-  private static int freePort() {
-    while (true) {
-      int port = FIRST_PORT + PORTS.nextInt(PORT_COUNT);
-      try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
-        if (USED_PORTS.add(port)) {
-          return socket.getLocalPort();
-        }
-      } catch (IOException e) {
-        // Another process has the port: the next one may be free.
-        USED_PORTS.add(port);
-      }
-    }
-  }
-
   GroupFixture start() {
     settings.keySet().forEach(this::start);
     return awaitInitialPrimary();
