--- a/core/src/main/java/org/oleanderstep/core/admission/RateClaimPlanner.java
+++ b/core/src/main/java/org/oleanderstep/core/admission/RateClaimPlanner.java
@@ -132,14 +132,7 @@
    * of a VM replaces only that VM.
    */
   private static Set<VmId> chooseHolders(OrganisationId organisation, Set<VmId> live, int holders) {
-    return live.stream()
-        .sorted(
-            (a, b) ->
-                Long.compareUnsigned(
-                    RendezvousHash.weight(organisation.name(), b.name()),
-                    RendezvousHash.weight(organisation.name(), a.name())))
-        .limit(holders)
-        .collect(Collectors.toSet());
+    return Set.copyOf(RendezvousHash.first(organisation.name(), live, VmId::name, holders));
   }
 
   /** Returns the demand to publish: the published one unless the difference is worth a call. */
--- a/core/src/main/java/org/oleanderstep/core/admission/TokenLoans.java
+++ b/core/src/main/java/org/oleanderstep/core/admission/TokenLoans.java
@@ -39,6 +39,9 @@
 
   /** Ends loans that are older than {@code afterNanos}; returns whether there were any. */
   boolean expire(long now, long afterNanos) {
+    if (loans.isEmpty()) {
+      return false;
+    }
     int before = lentTokens;
     for (Iterator<Loan> oldest = loans.values().iterator(); oldest.hasNext(); ) {
       Loan loan = oldest.next();
--- a/core/src/main/java/org/oleanderstep/core/freshness/SuspendAwareClock.java
+++ b/core/src/main/java/org/oleanderstep/core/freshness/SuspendAwareClock.java
@@ -10,8 +10,24 @@
 public interface SuspendAwareClock {
 
   /** The clocks of this VM. */
-  SuspendAwareClock SYSTEM = () -> new ClockReading(System.nanoTime(), System.currentTimeMillis());
+  SuspendAwareClock SYSTEM =
+      new SuspendAwareClock() {
+        @Override
+        public ClockReading read() {
+          return new ClockReading(System.nanoTime(), System.currentTimeMillis());
+        }
+
+        @Override
+        public long monotonicNanos() {
+          return System.nanoTime();
+        }
+      };
 
   /** Reads both clocks. */
   ClockReading read();
+
+  /** Reads only the monotonic clock, in nanoseconds since an arbitrary origin. */
+  default long monotonicNanos() {
+    return read().monotonicNanos();
+  }
 }
--- a/core/src/main/java/org/oleanderstep/core/membership/RendezvousHash.java
+++ b/core/src/main/java/org/oleanderstep/core/membership/RendezvousHash.java
@@ -2,6 +2,8 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.Collection;
+import java.util.List;
+import java.util.function.Function;
 
 /**
  * Rendezvous (highest-random-weight) hashing: all processes rank the same candidates for a key in
@@ -34,6 +36,21 @@
             .count();
   }
 
+  /**
+   * Returns the given number of candidates that rank first for a key, or all if there are fewer.
+   */
+  public static <T> List<T> first(
+      String key, Collection<T> candidates, Function<T, String> name, int count) {
+    record Weighted<T>(T candidate, long weight) {}
+
+    return candidates.stream()
+        .map(candidate -> new Weighted<>(candidate, weight(key, name.apply(candidate))))
+        .sorted((a, b) -> Long.compareUnsigned(b.weight, a.weight))
+        .limit(count)
+        .map(Weighted::candidate)
+        .toList();
+  }
+
   private static long fnv(long start, String text) {
     long hash = start;
     for (byte octet : text.getBytes(StandardCharsets.UTF_8)) {
--- a/gateway/src/main/java/org/oleanderstep/gateway/Gateway.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/Gateway.java
@@ -1,6 +1,7 @@
 package org.oleanderstep.gateway;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
 import java.util.HashMap;
@@ -86,7 +87,7 @@
     this.connector = connector;
     this.log = log;
     this.metrics = metrics;
-    meterRolledAt = clock.read().monotonicNanos();
+    meterRolledAt = clock.monotonicNanos();
     demandMeter = new DemandMeter(meterRolledAt);
     admission = new AdmissionQueues(rates, borrower, demandMeter, clock, lenders, metrics);
   }
@@ -136,13 +137,13 @@
   }
 
   private void applyRates() {
-    rates.update(configuration.limits(), rateShares, clock.read().monotonicNanos());
+    rates.update(configuration.limits(), rateShares, clock.monotonicNanos());
     borrower.update(configuration.limits(), lenderShares);
   }
 
   /** Updates the members of all services. */
   public void updateMembers(Collection<TargetMember> update) {
-    directory.update(update, clock.read().monotonicNanos());
+    directory.update(update, clock.monotonicNanos());
     updateServices();
   }
 
@@ -205,7 +206,7 @@
 
   /** Applies timeouts and performs the periodic work of the gateway. */
   public void tick() {
-    long now = clock.read().monotonicNanos();
+    long now = clock.monotonicNanos();
     if (now - meterRolledAt > METER_INTERVAL.toNanos()) {
       meterRolledAt = now;
       demand = demandMeter.endInterval(now);
@@ -215,7 +216,18 @@
     }
     admission.tick();
     services.values().forEach(ServicePool::tick);
-    List.copyOf(sessions).forEach(session -> session.tick(now));
+    tickActiveSessions(now);
+  }
+
+  // Most sessions are idle. The active ones are collected first, because a tick may end a session.
+  private void tickActiveSessions(long now) {
+    List<Session> active = new ArrayList<>();
+    for (Session session : sessions) {
+      if (session.isActive()) {
+        active.add(session);
+      }
+    }
+    active.forEach(session -> session.tick(now));
   }
 
   @Override
--- a/gateway/src/main/java/org/oleanderstep/gateway/control/MemberDirectory.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/control/MemberDirectory.java
@@ -47,6 +47,9 @@
 
   /** Removes members whose grace period is over; returns whether there were any. */
   public boolean expire(long now) {
+    if (missingSince.isEmpty()) {
+      return false;
+    }
     List<TargetMember> kept = new ArrayList<>(members);
     kept.removeIf(member -> isExpired(member, now));
     boolean changed = kept.size() < members.size();
--- a/gateway/src/main/java/org/oleanderstep/gateway/session/AdmissionQueues.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/session/AdmissionQueues.java
@@ -97,7 +97,7 @@
 
   /** Adds tokens that another VM has not used; those above the limit of this VM are dropped. */
   public void onReturned(OrganisationId organisation, int tokens) {
-    rates.addTokens(organisation, tokens, clock.read().monotonicNanos());
+    rates.addTokens(organisation, tokens, clock.monotonicNanos());
     serve(organisation);
   }
 
@@ -108,7 +108,7 @@
 
   /** Lends tokens to another VM, as far as the operations that wait here do not need them. */
   public TokenBorrower.LoanReply lend(TokenBorrower.LoanRequest ask) {
-    long now = clock.read().monotonicNanos();
+    long now = clock.monotonicNanos();
     int reserved = queue(ask.organisation()).size();
     int tokens = rates.lend(ask, reserved, now);
     metrics.recordLent(tokens);
@@ -117,7 +117,7 @@
 
   /** Ends a loan by this VM after the borrower has confirmed it. */
   public void onLoanConfirmed(OrganisationId organisation, long id) {
-    rates.confirmLoan(organisation, id, clock.read().monotonicNanos());
+    rates.confirmLoan(organisation, id, clock.monotonicNanos());
   }
 
   /** Handles the reply of a VM to a token request. */
@@ -137,7 +137,7 @@
       remaining--;
       queue.remove(0).admit();
     }
-    rates.addTokens(organisation, remaining, clock.read().monotonicNanos());
+    rates.addTokens(organisation, remaining, clock.monotonicNanos());
     serve(organisation);
   }
 
@@ -153,7 +153,7 @@
 
   private void serve(OrganisationId organisation) {
     List<AdmissionTask> queue = queue(organisation);
-    while (!queue.isEmpty() && rates.tryAcquire(organisation, clock.read().monotonicNanos())) {
+    while (!queue.isEmpty() && rates.tryAcquire(organisation, clock.monotonicNanos())) {
       queue.remove(0).admit();
     }
     if (!queue.isEmpty()) {
--- a/gateway/src/main/java/org/oleanderstep/gateway/session/AdmissionTask.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/session/AdmissionTask.java
@@ -40,7 +40,7 @@
   }
 
   private long now() {
-    return environment.clock().read().monotonicNanos();
+    return environment.clock().monotonicNanos();
   }
 
   OrganisationId organisation() {
--- a/gateway/src/main/java/org/oleanderstep/gateway/session/Session.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/session/Session.java
@@ -66,7 +66,7 @@
   }
 
   private long now() {
-    return environment.clock().read().monotonicNanos();
+    return environment.clock().monotonicNanos();
   }
 
   /** Opens the session for a caller that has presented a key; the key may be empty. */
@@ -454,6 +454,11 @@
     }
   }
 
+  /** Returns whether a statement is being served or a transaction is open. */
+  public boolean isActive() {
+    return task.isPresent() || status == SessionStatus.IN_TRANSACTION;
+  }
+
   /** Ends statements that have timed out and transactions that have been idle for too long. */
   public void tick(long now) {
     task.ifPresent(t -> t.tick(now));
--- a/gateway/src/main/java/org/oleanderstep/gateway/session/SingleStatementTask.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/session/SingleStatementTask.java
@@ -67,7 +67,7 @@
   }
 
   private long now() {
-    return environment.clock().read().monotonicNanos();
+    return environment.clock().monotonicNanos();
   }
 
   @Override
--- a/gateway/src/main/java/org/oleanderstep/gateway/session/TransactionStatementTask.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/session/TransactionStatementTask.java
@@ -57,7 +57,7 @@
   }
 
   private long now() {
-    return environment.clock().read().monotonicNanos();
+    return environment.clock().monotonicNanos();
   }
 
   private boolean isCommit() {
--- a/gateway/src/main/java/org/oleanderstep/gateway/target/MemberPool.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/target/MemberPool.java
@@ -167,14 +167,13 @@
 
   /** Returns whether the member serves writes; a draining primary does so until it is replaced. */
   boolean canServeWrites() {
+    if (removed || wrongTarget || !member.claimsPrimary()) {
+      return false;
+    }
     long now = now();
     boolean drained =
         drainingSince.isPresent() && now - drainingSince.get() > MAX_DRAIN_TIME.toNanos();
-    return !removed
-        && !wrongTarget
-        && !drained
-        && member.claimsPrimary()
-        && now - notPrimaryUntil >= 0;
+    return !drained && now - notPrimaryUntil >= 0;
   }
 
   /** Records that the member refused a write because it is not the primary. */
@@ -434,28 +433,38 @@
   }
 
   /** Detects missing replies, times out connection attempts, and probes a failing member. */
-  void tick(Optional<OrganisationId> probeFor) {
-    long now = now();
+  void tick(Optional<OrganisationId> probeFor, long now) {
+    timeOutAttempts(now);
+    detectMissingReplies(now);
+    if (isFailing() && !removed && attempts.isEmpty()) {
+      probeFor.ifPresent(this::tryOpen);
+    }
+  }
+
+  private void timeOutAttempts(long now) {
+    if (attempts.isEmpty()) {
+      return;
+    }
     for (ConnectAttempt attempt : List.copyOf(attempts)) {
       if (now - attempt.startedAt > CONNECT_TIMEOUT.toNanos() && removeAttempt(attempt)) {
         attempt.cancel.run();
         onRefused(Optional.empty(), "the member did not answer the connection attempt");
       }
     }
+  }
+
+  private void detectMissingReplies(long now) {
+    if (connections.stream().noneMatch(PooledConnection::hasPendingCommand)) {
+      return;
+    }
     long silenceTimeout = latency.timeoutNanos(MIN_SILENCE_TIMEOUT, MAX_SILENCE_TIMEOUT, now);
+    long overtakenTimeout = latency.timeoutNanos(MIN_OVERTAKEN_TIMEOUT, MAX_OVERTAKEN_TIMEOUT, now);
     for (PooledConnection connection : List.copyOf(connections)) {
-      if (connection.hasUnansweredCommand(now, silenceTimeout) || isOvertaken(connection)) {
+      if (connection.hasUnansweredCommand(now, silenceTimeout)
+          || connection.hasUnansweredCommand(lastAnsweredSentAt, overtakenTimeout)) {
         onSilent(connection, silenceTimeout);
       }
     }
-    if (isFailing() && !removed && attempts.isEmpty()) {
-      probeFor.ifPresent(this::tryOpen);
-    }
-  }
-
-  private boolean isOvertaken(PooledConnection connection) {
-    long timeout = latency.timeoutNanos(MIN_OVERTAKEN_TIMEOUT, MAX_OVERTAKEN_TIMEOUT, now());
-    return connection.hasUnansweredCommand(lastAnsweredSentAt, timeout);
   }
 
   private void onSilent(PooledConnection connection, long silenceTimeout) {
--- a/gateway/src/main/java/org/oleanderstep/gateway/target/PooledConnection.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/target/PooledConnection.java
@@ -154,6 +154,10 @@
     first.handler.replied(reply);
   }
 
+  boolean hasPendingCommand() {
+    return !pendingCommands.isEmpty();
+  }
+
   /** Returns whether a command has been pending for longer than the limit. */
   boolean hasUnansweredCommand(long now, long limitNanos) {
     PendingCommand first = pendingCommands.peekFirst();
--- a/gateway/src/main/java/org/oleanderstep/gateway/target/ServicePool.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/target/ServicePool.java
@@ -45,6 +45,11 @@
   /** Several sample intervals, because some of them may find no idle connection. */
   private static final Duration CONFIRMATION_VALIDITY = Duration.ofSeconds(1);
 
+  // A restarted process may claim to be the primary while the entry of its predecessor is listed.
+  private static final Comparator<MemberPool> BY_TERM =
+      Comparator.comparingLong((MemberPool pool) -> pool.lastPosition().term())
+          .thenComparingLong(pool -> pool.member().startMillis());
+
   private final String service;
   private final SuspendAwareClock clock;
   private final TargetConnector connector;
@@ -76,7 +81,7 @@
   }
 
   private long nowNanos() {
-    return clock.read().monotonicNanos();
+    return clock.monotonicNanos();
   }
 
   /** Replaces the members of the service and the connection limit of this VM for each member. */
@@ -113,11 +118,13 @@
 
   /** Returns the member that serves writes, if one is known. */
   public Optional<MemberPool> primary() {
-    return pools.values().stream()
-        .filter(MemberPool::canServeWrites)
-        .max(
-            Comparator.comparingLong((MemberPool p) -> p.lastPosition().term())
-                .thenComparingLong(p -> p.member().startMillis()));
+    MemberPool latest = null;
+    for (MemberPool pool : pools.values()) {
+      if (pool.canServeWrites() && (latest == null || BY_TERM.compare(pool, latest) > 0)) {
+        latest = pool;
+      }
+    }
+    return Optional.ofNullable(latest);
   }
 
   /** Queues a request and grants it immediately if possible. */
@@ -175,6 +182,9 @@
   // Granting a request may end others synchronously and call this method again. The outer call then
   // makes another pass.
   private void grantPending() {
+    if (waitingRequests.isEmpty()) {
+      return;
+    }
     if (granting) {
       grantAgain = true;
       return;
@@ -264,8 +274,9 @@
 
   /** Refuses expired requests, detects unresponsive members, and samples the primary's position. */
   public void tick() {
-    pools.values().forEach(pool -> pool.tick(lastOrganisation));
-    retiredPools.forEach(pool -> pool.tick(Optional.empty()));
+    long now = nowNanos();
+    pools.values().forEach(pool -> pool.tick(lastOrganisation, now));
+    retiredPools.forEach(pool -> pool.tick(Optional.empty(), now));
     retiredPools.removeIf(MemberPool::isTerminated);
     updateSuspects();
     updatePrimary();
@@ -274,6 +285,9 @@
   }
 
   private void updateSuspects() {
+    if (suspects.isEmpty() && pools.values().stream().noneMatch(MemberPool::isSuspect)) {
+      return;
+    }
     Set<MemberId> suspected = new HashSet<>();
     for (MemberPool pool : pools.values()) {
       if (pool.isSuspect()) {
