Answer what arrived with the last statement, and contain defects of one caller or service

The session now closes after all received input is handled. - Unexpected error: an exception for one caller ended the tick of the gateway, so that statements of all other callers did not time out (SessionOutcomeTest). Ruled out: exceptions in message handlers (Netty closes that connection only). The first form of the second test expected 'unknown' for the other caller; its write had not been sent, so 'not run' is right, and the test asks for an answer.

--- a/gateway/src/main/java/org/oleanderstep/gateway/Gateway.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/Gateway.java
@@ -215,7 +215,7 @@
       updateServices();
     }
     admission.tick();
-    services.values().forEach(ServicePool::tick);
+    services.values().forEach(service -> runGuarded("service", service::tick, () -> {}));
     tickActiveSessions(now);
   }
 
@@ -227,7 +227,17 @@
         active.add(session);
       }
     }
-    active.forEach(session -> session.tick(now));
+    active.forEach(session -> runGuarded("session", () -> session.tick(now), session::terminate));
+  }
+
+  // A defect that concerns one service or session must not stop the timeouts of all others.
+  private void runGuarded(String subject, Runnable step, Runnable onFailure) {
+    try {
+      step.run();
+    } catch (RuntimeException e) {
+      log.stateChange("step_failed").with("subject", subject).with("reason", e).write();
+      onFailure.run();
+    }
   }
 
   @Override
--- a/gateway/src/main/java/org/oleanderstep/gateway/session/CallerChannel.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/session/CallerChannel.java
@@ -14,4 +14,7 @@
 
   /** Closes the connection after all pending writes. */
   void close();
+
+  /** Runs an action after all statements that have been received are passed to the session. */
+  void runAfterInput(Runnable action);
 }
--- a/gateway/src/main/java/org/oleanderstep/gateway/session/Session.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/session/Session.java
@@ -127,13 +127,30 @@
     }
   }
 
+  // A statement that arrived with the last one is still answered.
   private void closeIfIdle() {
-    if (closing && !closed && !busy && status == SessionStatus.IDLE) {
+    if (mayClose()) {
+      channel.runAfterInput(this::closeIfStillIdle);
+    }
+  }
+
+  private void closeIfStillIdle() {
+    if (mayClose()) {
       closed = true;
       channel.close();
     }
   }
 
+  private boolean mayClose() {
+    return closing && !closed && !busy && status == SessionStatus.IDLE;
+  }
+
+  /** Ends the session because of a defect; statements without an answer get none. */
+  public void terminate() {
+    disconnected();
+    channel.close();
+  }
+
   /** Rolls back the open transaction; its next statement fails. */
   public void abortTransaction() {
     if (!busy && status == SessionStatus.IN_TRANSACTION) {
--- a/gateway/src/test/java/org/oleanderstep/gateway/FakeCaller.java
+++ b/gateway/src/test/java/org/oleanderstep/gateway/FakeCaller.java
@@ -21,6 +21,10 @@
   public SessionStatus status = SessionStatus.IDLE;
   public boolean opened;
   public boolean closed;
+
+  /** Thrown instead of recording the next answer, if set. */
+  public RuntimeException defect;
+
   private int nextId;
 
   FakeCaller(GatewayFixture fixture) {
@@ -89,6 +93,9 @@
 
   @Override
   public void answer(Answer answer, SessionStatus newStatus) {
+    if (defect != null) {
+      throw defect;
+    }
     answers.add(answer);
     status = newStatus;
   }
@@ -97,4 +104,9 @@
   public void close() {
     closed = true;
   }
+
+  @Override
+  public void runAfterInput(Runnable action) {
+    action.run();
+  }
 }
--- a/gateway/src/test/java/org/oleanderstep/gateway/session/SessionOutcomeTest.java
+++ b/gateway/src/test/java/org/oleanderstep/gateway/session/SessionOutcomeTest.java
@@ -53,6 +53,25 @@
     assertThat(caller.failure()).isEqualTo(FailureCode.UNKNOWN_OUTCOME);
   }
 
+  // A defect that shows with one caller must not keep the statements of all others from timing out.
+  @Test
+  void should_time_out_statements_of_other_callers_when_serving_one_fails() {
+    FakeCaller failing = open(PRIMARY_DATABASE);
+    FakeCaller other = open(PRIMARY_DATABASE);
+    failing.read();
+    other.read();
+    fixture.first.fault = Fault.SILENT;
+    failing.defect = new IllegalStateException("defect");
+
+    failing.send(StatementKind.WRITE, "WRITE item data");
+    other.send(StatementKind.WRITE, "WRITE item data");
+    fixture.advanceTime(TIMEOUT.plusMillis(50));
+
+    assertThat(other.answers).hasSize(2);
+    assertThat(other.last()).isInstanceOf(Answer.Failure.class);
+    assertThat(failing.closed).isTrue();
+  }
+
   @Test
   void should_retry_a_read_when_its_connection_is_lost() {
     FakeCaller caller = open(PRIMARY_DATABASE);
