--- a/gateway/src/main/java/org/oleanderstep/gateway/target/LeaseRequest.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/target/LeaseRequest.java
@@ -44,6 +44,7 @@
   private long notBefore;
   private Optional<MemberPool> awaitedPool = Optional.empty();
   private long awaitedSince;
+  private boolean awaitedTooLong;
 
   /**
    * Creates a request.
@@ -102,22 +103,25 @@
     if (awaitedPool.filter(awaited -> awaited == pool).isEmpty()) {
       awaitedPool = Optional.of(pool);
       awaitedSince = now;
+      awaitedTooLong = false;
     }
   }
 
-  /**
-   * Returns whether the recorded pool is still opening a connection. If that takes too long, the
-   * request prefers other members.
-   */
-  boolean awaitsConnection(long now) {
-    if (awaitedPool.filter(pool -> pool.isConnecting(organisation)).isEmpty()) {
-      return false;
+  /** Prefers other members if the recorded pool takes too long to open a connection. */
+  void avoidSlowConnection(long now) {
+    if (isAwaitedPoolConnecting() && now - awaitedSince > MAX_CONNECTION_WAIT.toNanos()) {
+      awaitedTooLong = true;
+      avoidedPools.add(awaitedPool.get());
     }
-    if (now - awaitedSince <= MAX_CONNECTION_WAIT.toNanos()) {
-      return true;
-    }
-    avoidedPools.add(awaitedPool.get());
-    return false;
+  }
+
+  /** Returns whether the recorded pool is opening a connection that is worth waiting for. */
+  boolean awaitsConnection() {
+    return isAwaitedPoolConnecting() && !awaitedTooLong;
+  }
+
+  private boolean isAwaitedPoolConnecting() {
+    return awaitedPool.filter(pool -> pool.isConnecting(organisation)).isPresent();
   }
 
   void grant(Lease lease) {
--- a/gateway/src/main/java/org/oleanderstep/gateway/target/MemberPool.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/target/MemberPool.java
@@ -48,21 +48,6 @@
   private static final Duration BEHIND_RETRY_DELAY = Duration.ofMillis(250);
   private static final Duration MAX_DRAIN_TIME = Duration.ofMillis(4_500);
 
-  /**
-   * Time after a start or a refusal for which connections are scarce: the member still counts those
-   * of VMs that have lost power.
-   */
-  private static final Duration SCARCITY_PERIOD = Duration.ofSeconds(4);
-
-  /** With a larger limit, the VMs together leave enough connections unused. */
-  private static final int MAX_SCARCE_LIMIT = 2;
-
-  /**
-   * Connections above a small limit, for statements that would otherwise wait for the end of a
-   * transaction. They are closed after use.
-   */
-  private static final int SPARE_CONNECTIONS = 2;
-
   private static final class ConnectAttempt {
     private final OrganisationId organisation;
     private final long startedAt;
@@ -82,8 +67,8 @@
   private final List<ConnectAttempt> attempts = new ArrayList<>();
   private final Map<OrganisationId, Integer> attemptCounts = new HashMap<>();
   private final ReplyLatency latency;
+  private final ConnectionAllowance allowance;
   private TargetMember member;
-  private int limit;
   private boolean removed;
   private boolean wrongTarget;
   private LogPosition lastPosition = LogPosition.START;
@@ -95,8 +80,6 @@
   private LogPosition behindPosition = LogPosition.START;
   private long lastReplyAt;
   private long lastAnsweredSentAt;
-  private final long createdAt;
-  private Optional<Long> fullSince = Optional.empty();
 
   MemberPool(
       TargetMember member,
@@ -106,19 +89,18 @@
       DecisionLog log,
       Runnable onCapacityAvailable) {
     this.member = member;
-    this.limit = limit;
     this.connector = connector;
     this.clock = clock;
     this.log = log;
     this.onCapacityAvailable = onCapacityAvailable;
     long now = clock.nanoTime();
     latency = new ReplyLatency(now);
+    allowance = new ConnectionAllowance(limit, now);
     openNotBefore = now;
     notPrimaryUntil = now;
     behindUntil = now;
     lastReplyAt = now;
     lastAnsweredSentAt = now;
-    createdAt = now;
     updateDraining();
   }
 
@@ -134,7 +116,7 @@
   void update(TargetMember update, int newLimit) {
     boolean becamePrimary = update.claimsPrimary() && !member.claimsPrimary();
     member = update;
-    limit = newLimit;
+    allowance.update(newLimit);
     removed = false;
     if (becamePrimary) {
       notPrimaryUntil = now();
@@ -221,7 +203,7 @@
   }
 
   boolean hasCapacity() {
-    return connections.size() + attempts.size() < limit
+    return allowance.allowsAnother(openOrOpening())
         || connections.stream().anyMatch(c -> !c.isLeased());
   }
 
@@ -254,22 +236,23 @@
     if (removed || wrongTarget || now() - openNotBefore < 0) {
       return false;
     }
-    if (connections.size() + attempts.size() >= limit && !evictIdle() && !mayUseSpare()) {
+    boolean allowed =
+        allowance.allowsAnother(openOrOpening())
+            || evictIdle()
+            || allowance.allowsSpare(openOrOpening(), now());
+    if (!allowed) {
       return false;
     }
     open(organisation);
     return true;
   }
 
-  /** Most VMs use fewer connections than their limit, so a member usually has some to spare. */
-  private boolean mayUseSpare() {
-    return limit <= MAX_SCARCE_LIMIT
-        && !areConnectionsScarce()
-        && connections.size() + attempts.size() < limit + SPARE_CONNECTIONS;
+  private int openOrOpening() {
+    return connections.size() + attempts.size();
   }
 
   private boolean evictIdle() {
-    if (connections.size() + attempts.size() > limit) {
+    if (allowance.isExceededBy(openOrOpening())) {
       return false;
     }
     Optional<PooledConnection> oldest =
@@ -341,7 +324,7 @@
       recordReply();
       wrongTarget = code.get() == FailureCode.WRONG_TARGET;
       if (code.get() == FailureCode.TOO_MANY_CONNECTIONS) {
-        fullSince = Optional.of(now());
+        allowance.onRefused(now());
         closeIdle("the member accepts no more connections");
       }
       backoff = BACKOFF_AFTER_REFUSAL;
@@ -414,22 +397,13 @@
       return;
     }
     onCapacityAvailable.run();
-    if (!connection.isLeased() && areConnectionsScarce()) {
+    if (!connection.isLeased() && allowance.isScarce(now())) {
       connection.close("leaves the connection to other VMs while connections are scarce");
     }
   }
 
-  private boolean areConnectionsScarce() {
-    boolean recentStart = limit <= MAX_SCARCE_LIMIT && isInScarcityPeriod(createdAt);
-    return recentStart || fullSince.filter(this::isInScarcityPeriod).isPresent();
-  }
-
-  private boolean isInScarcityPeriod(long start) {
-    return now() - start < SCARCITY_PERIOD.toNanos();
-  }
-
   private boolean acceptsWork() {
-    return !removed && !wrongTarget && connections.size() <= limit;
+    return !removed && !wrongTarget && !allowance.isExceededBy(connections.size());
   }
 
   /** Detects missing replies, times out connection attempts, and probes a failing member. */
--- a/gateway/src/main/java/org/oleanderstep/gateway/target/ServicePool.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/target/ServicePool.java
@@ -253,7 +253,7 @@
         request.grant(new Lease(connection.get(), requiredPosition, timeSinceReached));
         return;
       }
-      if (opens(pool, request)) {
+      if (ensureOpening(pool, request)) {
         request.awaitConnectionOf(pool, nowNanos());
         return;
       }
@@ -261,15 +261,16 @@
   }
 
   /**
-   * Returns whether a connection for a request is being opened by a pool, and opens one if the
-   * request awaits none: a member whose only connection is being opened looks full, so the request
-   * would otherwise open one at each member.
+   * Opens a connection for a request, unless the request awaits one already: a member whose only
+   * connection is being opened looks full, so the request would otherwise open one at each member.
+   * Returns whether the pool is opening one that the request may await.
    */
-  private boolean opens(MemberPool pool, LeaseRequest request) {
+  private boolean ensureOpening(MemberPool pool, LeaseRequest request) {
     if (pool.isConnecting(request.organisation())) {
       return !request.avoids(pool);
     }
-    return !request.awaitsConnection(nowNanos()) && pool.tryOpen(request.organisation());
+    request.avoidSlowConnection(nowNanos());
+    return !request.awaitsConnection() && pool.tryOpen(request.organisation());
   }
 
   /** Refuses expired requests, detects unresponsive members, and samples the primary's position. */
