--- a/gateway/src/main/java/org/oleanderstep/gateway/Gateway.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/Gateway.java
@@ -236,7 +236,7 @@
       step.run();
     } catch (RuntimeException e) {
       log.stateChange("step_failed").with("subject", subject).with("reason", e).write();
-      onFailure.run();
+      runGuarded(subject, onFailure, () -> {});
     }
   }
 
--- a/gateway/src/main/java/org/oleanderstep/gateway/session/Session.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/session/Session.java
@@ -147,8 +147,14 @@
 
   /** Ends the session because of a defect; statements without an answer get none. */
   public void terminate() {
-    disconnected();
-    channel.close();
+    try {
+      disconnected();
+    } finally {
+      // Otherwise the defect would show again at each tick.
+      task = Optional.empty();
+      status = SessionStatus.IDLE;
+      channel.close();
+    }
   }
 
   /** Rolls back the open transaction; its next statement fails. */
--- a/gateway/src/test/java/org/oleanderstep/gateway/FakeCaller.java
+++ b/gateway/src/test/java/org/oleanderstep/gateway/FakeCaller.java
@@ -25,6 +25,9 @@
   /** Thrown instead of recording the next answer, if set. */
   public RuntimeException defect;
 
+  /** Thrown when the connection is closed, if set. */
+  public RuntimeException closeDefect;
+
   private int nextId;
 
   FakeCaller(GatewayFixture fixture) {
@@ -102,6 +105,9 @@
 
   @Override
   public void close() {
+    if (closeDefect != null) {
+      throw closeDefect;
+    }
     closed = true;
   }
 
--- a/gateway/src/test/java/org/oleanderstep/gateway/session/SessionOutcomeTest.java
+++ b/gateway/src/test/java/org/oleanderstep/gateway/session/SessionOutcomeTest.java
@@ -53,6 +53,24 @@
     assertThat(caller.failure()).isEqualTo(FailureCode.UNKNOWN_OUTCOME);
   }
 
+  // Ending the session of a failing caller may fail as well.
+  @Test
+  void should_time_out_statements_of_other_callers_when_ending_a_session_fails() {
+    FakeCaller failing = open(PRIMARY_DATABASE);
+    FakeCaller other = open(PRIMARY_DATABASE);
+    failing.read();
+    other.read();
+    fixture.first.fault = Fault.SILENT;
+    failing.defect = new IllegalStateException("defect");
+    failing.closeDefect = new IllegalStateException("another defect");
+
+    failing.send(StatementKind.WRITE, "WRITE item data");
+    other.send(StatementKind.WRITE, "WRITE item data");
+    fixture.advanceTime(TIMEOUT.plusMillis(50));
+
+    assertThat(other.failure()).isEqualTo(FailureCode.OVERLOADED);
+  }
+
   // A defect that shows with one caller must not keep the statements of all others from timing out.
   @Test
   void should_time_out_statements_of_other_callers_when_serving_one_fails() {
