--- a/gateway/src/main/java/org/oleanderstep/gateway/Gateway.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/Gateway.java
@@ -95,6 +95,12 @@
   /** Applies a configuration, unless its version is not newer than the current one. */
   public void configure(GatewayConfiguration update) {
     if (update.version() <= configuration.version()) {
+      if (update.version() < configuration.version()) {
+        log.stateChange("configuration_outdated")
+            .with("offered", update.version())
+            .with("version", configuration.version())
+            .write();
+      }
       return;
     }
     log.stateChange("configuration")
