Correct the claims on rates after the store was restored

Fault: the VMs divide each rate by claims in one object of the store, and use what the object says. A store restored from an older copy gives a share back to a VM that has passed it on, while the VM that received it goes on using it: both admit with it. The same happens with the claims of a process that restarts, of a VM that is cut off (it uses its claims for 4 min), of a VM whose first claims are not in the copy, and with a write that arrives after the restore and whose expected revision was given out again.

Mend: what is in use is the truth, since it adds up to no more than the whole; the copy is not. Each VM goes on with what it uses, writes that over what the copy says of it, and reserves for VMs that have not done so the greater of the copy and what it remembers. A process that has started since uses nothing until then. No share grows before all known VMs have corrected theirs (each VM's claims and report name an era), or until the validity of older claims has ended; an organisation that nobody has claimed gets equal shares as soon as the live VMs are through. A claim whose era is not the present one marks an object that a late write has put back, and is corrected in the same way. Claims without eras, of an earlier version, are trusted as before.

--- a/core/src/main/java/org/oleanderstep/core/admission/KnownClaimants.java
+++ b/core/src/main/java/org/oleanderstep/core/admission/KnownClaimants.java
@@ -35,6 +35,15 @@
     this.validity = validity;
   }
 
+  /**
+   * Forgets which reports were seen, because the store was restored from an older copy: a report
+   * that is missing now was not deleted, but lost.
+   */
+  public void forgetReports() {
+    reportedBefore.clear();
+    unreportedSince.clear();
+  }
+
   /**
    * Returns the VMs whose claims must be respected.
    *
--- a/core/src/main/java/org/oleanderstep/core/admission/RateClaimPlanner.java
+++ b/core/src/main/java/org/oleanderstep/core/admission/RateClaimPlanner.java
@@ -100,6 +100,26 @@
     return next;
   }
 
+  /**
+   * Returns the claims with equal shares of the rates of which no VM has claimed any; all other
+   * claims stay as they are.
+   *
+   * @param live the VMs among which rates are divided
+   */
+  public RateClaims planFirstClaims(
+      RateClaims claims, Map<OrganisationId, RateLimiter.Limit> limits, Set<VmId> live) {
+    RateClaims next = claims;
+    for (Map.Entry<OrganisationId, RateLimiter.Limit> each : limits.entrySet()) {
+      OrganisationId organisation = each.getKey();
+      if (claims.shares().getOrDefault(organisation, Map.of()).isEmpty()) {
+        int holders = holders(each.getValue(), live.size());
+        Set<VmId> chosen = chooseHolders(claims, organisation, live, holders);
+        next = next.withEqualShares(organisation, chosen);
+      }
+    }
+    return next;
+  }
+
   private RateClaims plan(
       RateClaims claims,
       OrganisationId organisation,
--- a/core/src/main/java/org/oleanderstep/core/admission/RateClaims.java
+++ b/core/src/main/java/org/oleanderstep/core/admission/RateClaims.java
@@ -11,13 +11,18 @@
  * The share of each organisation's rate that each VM has claimed; the rest is unclaimed.
  *
  * <p>Stored as a single object that the VMs change by conditional updates, so that the shares of an
- * organisation never add up to more than one. Immutable.
+ * organisation never add up to more than one. If the store is restored from an older copy, that
+ * holds only for the shares that were established since, see {@link RestoredClaims}. Immutable.
  *
  * @param shares shares by organisation and VM, each from 0 to 1
  * @param demand operations a second that callers request from each VM, by organisation and VM
+ * @param eras by VM, the era of the store in which its shares were established; empty if the claims
+ *     were written by a version that knows no eras
  */
 public record RateClaims(
-    Map<OrganisationId, Map<VmId, Double>> shares, Map<OrganisationId, Map<VmId, Double>> demand) {
+    Map<OrganisationId, Map<VmId, Double>> shares,
+    Map<OrganisationId, Map<VmId, Double>> demand,
+    Map<VmId, Long> eras) {
 
   /** Claims in which no VM has claimed anything. */
   public static final RateClaims NONE = new RateClaims(Map.of(), Map.of());
@@ -26,6 +31,39 @@
   public RateClaims {
     shares = Map.copyOf(shares);
     demand = Map.copyOf(demand);
+    eras = Map.copyOf(eras);
+  }
+
+  /** Creates claims without eras. */
+  public RateClaims(
+      Map<OrganisationId, Map<VmId, Double>> shares,
+      Map<OrganisationId, Map<VmId, Double>> demand) {
+    this(shares, demand, Map.of());
+  }
+
+  /** Returns whether the shares of a VM were established in an era. */
+  public boolean isEstablished(VmId vm, long era) {
+    return eras.isEmpty() || eras.getOrDefault(vm, Long.MIN_VALUE) >= era;
+  }
+
+  /** Returns a copy in which the shares of some VMs count as established in an era. */
+  public RateClaims withEra(Set<VmId> vms, long era) {
+    Map<VmId, Long> changed = new HashMap<>(eras);
+    vms.forEach(vm -> changed.put(vm, era));
+    return new RateClaims(shares, demand, changed);
+  }
+
+  /** Returns the VMs whose shares differ between these claims and others. */
+  public Set<VmId> changedVms(RateClaims other) {
+    Set<OrganisationId> organisations = new HashSet<>(shares.keySet());
+    organisations.addAll(other.shares.keySet());
+    Set<VmId> candidates = new HashSet<>(claimants());
+    candidates.addAll(other.claimants());
+    candidates.removeIf(
+        vm ->
+            organisations.stream()
+                .allMatch(each -> claimedBy(each, vm) == other.claimedBy(each, vm)));
+    return candidates;
   }
 
   private static double lookUp(
@@ -80,12 +118,12 @@
 
   /** Returns a copy of these claims with another share of one VM. */
   RateClaims withShare(OrganisationId organisation, VmId vm, double share) {
-    return new RateClaims(replace(shares, organisation, vm, share), demand);
+    return new RateClaims(replace(shares, organisation, vm, share), demand, eras);
   }
 
   /** Returns a copy of these claims with another demand of one VM. */
   RateClaims withDemand(OrganisationId organisation, VmId vm, double operationsPerSecond) {
-    return new RateClaims(shares, replace(demand, organisation, vm, operationsPerSecond));
+    return new RateClaims(shares, replace(demand, organisation, vm, operationsPerSecond), eras);
   }
 
   /** Returns a copy with equal shares for some VMs, for a rate that no VM has claimed yet. */
@@ -115,8 +153,10 @@
 
   /** Returns a copy that keeps only the given organisations and VMs. */
   RateClaims restrictTo(Set<OrganisationId> organisations, Set<VmId> vms) {
+    Map<VmId, Long> keptEras = new HashMap<>(eras);
+    keptEras.keySet().retainAll(vms);
     return new RateClaims(
-        restrictTo(shares, organisations, vms), restrictTo(demand, organisations, vms));
+        restrictTo(shares, organisations, vms), restrictTo(demand, organisations, vms), keptEras);
   }
 
   private static Map<OrganisationId, Map<VmId, Double>> restrictTo(
