Follow a platform that returns to an older copy in the project's own client

After the platform has returned to an older copy, a version stands for another value (a watch returned nothing, a conditional update hit a value that it did not expect), a publication got a generation that the proxies had seen and was ignored although it was acknowledged, the configuration at the platform stayed older than the one in force, so that a proxy that started accepted a withdrawn key, and proxies lost the platform's confirmation of the generation in force.

The stand-in can now return to a copy (PUT /copy, PUT /restore; PlatformServer.copy and restore), counts it in Store-Era of all responses, gives versions out again and answers waiting watches with 410. On the code before, the tests of it could not be written, so that nothing but reading shows the faults.

Mend: the client packs the era and the number into the version, which is unique and rises; an update based on an earlier era is a conflict, a watch from one returns at once, and a response from an earlier era is not used. Generations of an era are above those of all earlier ones. An elected proxy writes the configuration and the share table in force over older ones, and creates them when they are missing (until now not implemented). An intent of an earlier era does not hide one with the same version.

A publication and the writing back can meet: the operator then gets a conflict and applies again.

--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/control/ControlThread.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/control/ControlThread.java
@@ -170,13 +170,15 @@
   private void createComponents(PeerIdentity self) {
     groups = new GroupMonitors(self, settings.failover(), loop, memberCalls, random, this::publish);
     configuration = new ConfigurationManager();
+    PlatformEvidence evidence = new PlatformEvidence(platform, peers, loop);
     shares =
         new ShareManager(
             new AdmissionController(self.vm(), settings.admission()),
             peers,
             loop,
             peerCalls,
-            platform);
+            platform,
+            evidence);
     gossip =
         new PeerGossip(
             peers,
@@ -191,7 +193,7 @@
     intents = new IntentHandler(self.vm(), peers, groups, loop, peerCalls, platform, this::drain);
     watcher =
         new PlatformWatcher(
-            platform, loop, peers, configuration, shares, new PlatformListener(), random);
+            platform, loop, peers, configuration, shares, evidence, new PlatformListener(), random);
     configuration.addListener(this::onConfiguration);
   }
 
--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/control/PlatformWatcher.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/control/PlatformWatcher.java
@@ -1,8 +1,10 @@
 package org.oleanderstep.proxy.internal.control;
 
+import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.time.Duration;
 import java.util.HashSet;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.apache.logging.log4j.LogManager;
@@ -79,7 +81,7 @@
         version = changed.object().version();
         onObject(changed.object());
       } else if (response instanceof WatchResult.Deleted) {
-        logger.error("object {} was deleted at the platform; the state in force stays", object);
+        logger.error("object {} is missing at the platform; the state in force stays", object);
         version = 0;
         onDeleted();
       }
@@ -89,6 +91,27 @@
       }
     }
 
+    /** Writes the state in force over an older one, or creates the object that is missing. */
+    void writeBack(OptionalLong base, ByteString value) {
+      if (!isElected()) {
+        return;
+      }
+      logger.warn("object {} is older at the platform than the state in force", object);
+      loop.onCompletion(
+          base.isPresent()
+              ? platform.replace(object, base.getAsLong(), value)
+              : platform.create(object, value),
+          (written, failure) -> {
+            if (failure == null) {
+              logger.info("object {} was written back to the platform", object);
+            } else {
+              // The next watch returns the object at once, and it is tried again.
+              version = 0;
+              logger.warn("object {} was not written back: {}", object, failure.toString());
+            }
+          });
+    }
+
     abstract void onObject(PlatformObject value);
 
     abstract void onDeleted();
@@ -101,6 +124,7 @@
   private final PeerTable peers;
   private final ConfigurationManager configuration;
   private final ShareManager shares;
+  private final PlatformEvidence evidence;
   private final Listener listener;
   private final RandomGenerator random;
   private final Watch configurationWatch;
@@ -117,6 +141,7 @@
       PeerTable peers,
       ConfigurationManager configuration,
       ShareManager shares,
+      PlatformEvidence evidence,
       Listener listener,
       RandomGenerator random) {
     this.platform = platform;
@@ -124,6 +149,7 @@
     this.peers = peers;
     this.configuration = configuration;
     this.shares = shares;
+    this.evidence = evidence;
     this.listener = listener;
     this.random = random;
     this.configurationWatch = new ConfigurationWatch();
@@ -141,18 +167,26 @@
     void onObject(PlatformObject value) {
       ConfigurationStore.StoredConfiguration stored = ConfigurationStore.parse(value);
       generation = stored.configuration().getGeneration();
-      configuration.offer(stored.configuration(), "the platform");
+      if (generation < configuration.generation()) {
+        writeBack(OptionalLong.of(value.version()), configuration.message().toByteString());
+      } else {
+        configuration.offer(stored.configuration(), "the platform");
+      }
     }
 
     @Override
     void onDeleted() {
       generation = 0;
+      if (configuration.generation() > 0) {
+        writeBack(OptionalLong.empty(), configuration.message().toByteString());
+      }
     }
 
     /** The response confirms the generation of the object that was last read. */
     @Override
     void onConfirmed(long sentAt) {
-      if (generation > 0 && generation == configuration.generation()) {
+      boolean confirmed = generation > 0 && generation == configuration.generation();
+      if (confirmed && evidence.showsNewestConfiguration()) {
         peers.onPlatformContact(sentAt);
       }
     }
@@ -166,14 +200,23 @@
     @Override
     void onObject(PlatformObject value) {
       try {
-        shares.onTable(ShareTable.parseFrom(value.value()));
+        ShareTable table = ShareTable.parseFrom(value.value());
+        if (table.getVersion() < shares.version()) {
+          writeBack(OptionalLong.of(value.version()), shares.message().toByteString());
+        } else {
+          shares.onTable(table);
+        }
       } catch (InvalidProtocolBufferException e) {
         logger.error("object {} is not a share table", ShareManager.OBJECT);
       }
     }
 
     @Override
-    void onDeleted() {}
+    void onDeleted() {
+      if (shares.version() > 0) {
+        writeBack(OptionalLong.empty(), shares.message().toByteString());
+      }
+    }
 
     @Override
     void onConfirmed(long sentAt) {}
@@ -241,7 +284,8 @@
   }
 
   private void readIntent(ObjectHead head) {
-    String id = head.getName() + "@" + head.getVersion();
+    // A platform that has returned to an older copy gives out versions again.
+    String id = head.getName() + "@" + platform.era() + "." + head.getVersion();
     if (!knownIntents.add(id)) {
       return;
     }
--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/control/ShareManager.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/control/ShareManager.java
@@ -61,6 +61,7 @@
   private final ControlLoop loop;
   private final PeerCalls calls;
   private final PlatformClient platform;
+  private final PlatformEvidence evidence;
   private final ConditionalPublisher publisher;
   private final Map<Long, CompletableFuture<Admission>> waiting = new HashMap<>();
   private long nextRequestId;
@@ -73,13 +74,15 @@
       PeerTable peers,
       ControlLoop loop,
       PeerCalls calls,
-      PlatformClient platform) {
+      PlatformClient platform,
+      PlatformEvidence evidence) {
     this.controller = controller;
     this.self = peers.self();
     this.peers = peers;
     this.loop = loop;
     this.calls = calls;
     this.platform = platform;
+    this.evidence = evidence;
     this.publisher = new ConditionalPublisher(platform);
   }
 
@@ -121,6 +124,14 @@
     return controller.shares();
   }
 
+  /** Returns the table in force as a message; the empty message if there is none. */
+  org.oleanderstep.schema.v1.ShareTable message() {
+    return controller
+        .shares()
+        .map(ShareTableConverter::toProto)
+        .orElse(org.oleanderstep.schema.v1.ShareTable.getDefaultInstance());
+  }
+
   void onPeers(Collection<PeerState> live) {
     controller.onPeers(live, loop.nanoTime());
   }
@@ -289,7 +300,7 @@
         platform.get(OBJECT),
         (object, failure) -> {
           platformRequestInFlight = false;
-          if (failure != null || object.isEmpty()) {
+          if (failure != null || object.isEmpty() || !evidence.showsNewestShares()) {
             return;
           }
           ShareTable table = parse(object.get()).table();
@@ -376,6 +387,11 @@
           }
           Optional<Stored> stored = object.map(ShareManager::parse);
           stored.ifPresent(s -> adopt(s.table()));
+          if (isOlderThanInForce(stored)) {
+            // The watch of the object writes the table in force back first.
+            publishing = false;
+            return;
+          }
           Optional<ShareTable> next = plan.apply(stored.map(Stored::table));
           if (next.isEmpty()) {
             publishing = false;
@@ -385,6 +401,10 @@
         });
   }
 
+  private boolean isOlderThanInForce(Optional<Stored> stored) {
+    return stored.map(s -> s.table().version()).orElse(0L) < controller.sharesVersion();
+  }
+
   private void update(Optional<Stored> stored, ShareTable next, String reason) {
     OptionalLong base =
         stored.isPresent() ? OptionalLong.of(stored.get().objectVersion()) : OptionalLong.empty();
--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/platform/ConfigurationStore.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/platform/ConfigurationStore.java
@@ -23,6 +23,9 @@
 
   private static final int MAX_EARLIER_IDS = 20;
 
+  /** Generations of an era are higher than those of all earlier ones. */
+  private static final int GENERATION_BITS_PER_ERA = 32;
+
   private final PlatformClient client;
   private final ConditionalPublisher publisher;
   private final InstantSource clock;
@@ -42,15 +45,19 @@
   /**
    * Atomically publishes declarations as the generation after the base.
    *
+   * <p>If the platform has returned to an older copy, the base may be older than the configuration
+   * in force. The next generation is nevertheless higher than all that were published before.
+   *
    * <p>Fails with {@link PlatformException.Conflict} if another configuration was published since
    * the base was read.
    */
   public CompletableFuture<PublishedConfiguration> publish(
       Optional<StoredConfiguration> base, Declarations declarations) {
+    long era = client.era();
     long baseGeneration = base.map(b -> b.configuration().getGeneration()).orElse(0L);
     PublishedConfiguration next =
         PublishedConfiguration.newBuilder()
-            .setGeneration(baseGeneration + 1)
+            .setGeneration(Math.max(baseGeneration, era << GENERATION_BITS_PER_ERA) + 1)
             .setPublicationId(UUID.randomUUID().toString())
             .setDeclarations(declarations)
             .setPublishedAtMs(clock.millis())
@@ -60,7 +67,16 @@
         base.isPresent() ? OptionalLong.of(base.get().version()) : OptionalLong.empty();
     return publisher
         .publish(OBJECT_NAME, version, next.toByteString(), value -> isPublication(value, next))
-        .thenApply(ignored -> next);
+        .thenApply(published -> requireEra(next, era, published));
+  }
+
+  /** Fails if the configuration was published in another era than that of its generation. */
+  private static PublishedConfiguration requireEra(
+      PublishedConfiguration next, long era, long published) {
+    if (ObjectVersion.of(published).era() != era) {
+      throw new PlatformException.Conflict(OBJECT_NAME);
+    }
+    return next;
   }
 
   private static List<String> earlierIds(Optional<StoredConfiguration> base) {
--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/platform/PlatformClient.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/platform/PlatformClient.java
@@ -14,13 +14,16 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.Executor;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Function;
 import java.util.function.Supplier;
+import java.util.function.UnaryOperator;
 import org.oleanderstep.schema.v1.ObjectList;
 import org.oleanderstep.schema.v1.VmList;
 
@@ -34,6 +37,10 @@
  * <p>Calls without a response are retried within the budget of {@link RetrySettings}. Updates are
  * conditional, so a retried update never takes effect twice, but it may report a conflict with the
  * caller's own earlier attempt; {@link ConditionalPublisher} resolves that.
+ *
+ * <p>The platform may return to an older copy of its objects, and names the count of these events
+ * in each response. A version that was read before such an event holds for nothing afterwards: an
+ * update that is based on it is a conflict, and a watch from it returns at once. Thread-safe.
  */
 public final class PlatformClient {
 
@@ -41,7 +48,13 @@
   private static final int OK = 200;
   private static final int NOT_MODIFIED = 304;
   private static final int NOT_FOUND = 404;
+  private static final int GONE = 410;
   private static final int PRECONDITION_FAILED = 412;
+  private static final String ERA_HEADER = "Store-Era";
+
+  /** No object has this version, so that a watch from it returns at once. */
+  private static final long NO_VERSION = -1;
+
   private static final int MIN_SERVER_ERROR = 500;
 
   private final HttpClient http;
@@ -49,6 +62,7 @@
   private final Duration timeout;
   private final RetrySettings retries;
   private final String vm;
+  private final AtomicLong era = new AtomicLong();
 
   /**
    * Creates a client.
@@ -86,15 +100,40 @@
     return update(name, request(objectPath(name)).header("If-None-Match", "*").PUT(body(value)));
   }
 
+  /** Returns how often the platform is known to have returned to an older copy. */
+  public long era() {
+    return era.get();
+  }
+
   /** Replaces the value of an object that must have the given version; returns the new one. */
   public CompletableFuture<Long> replace(String name, long version, ByteString value) {
-    return update(
-        name, request(objectPath(name)).header("If-Match", etag(version)).PUT(body(value)));
+    return updateVersion(name, version, request -> request.PUT(body(value)));
   }
 
   /** Deletes an object that must have the given version. */
   public CompletableFuture<Long> delete(String name, long version) {
-    return update(name, request(objectPath(name)).header("If-Match", etag(version)).DELETE());
+    return updateVersion(name, version, HttpRequest.Builder::DELETE);
+  }
+
+  private CompletableFuture<Long> updateVersion(
+      String name, long version, UnaryOperator<HttpRequest.Builder> operation) {
+    ObjectVersion expected = ObjectVersion.of(version);
+    HttpRequest.Builder request =
+        operation.apply(request(objectPath(name)).header("If-Match", etag(expected.number())));
+    return withRetries(
+            () ->
+                expected.era() == era.get()
+                    ? updateOnce(name, request)
+                    : CompletableFuture.failedFuture(new PlatformException.Conflict(name)))
+        .thenApply(updated -> requireEra(name, expected.era(), updated));
+  }
+
+  /** Fails if an update took effect only after the platform returned to an older copy. */
+  private static long requireEra(String name, long expected, long updated) {
+    if (ObjectVersion.of(updated).era() != expected) {
+      throw new PlatformException.Conflict(name);
+    }
+    return updated;
   }
 
   /**
@@ -104,16 +143,38 @@
    * @param version version that the caller has, or 0 if it has seen no such object
    */
   public CompletableFuture<WatchResult> watch(String name, long version, Duration wait) {
+    ObjectVersion held = ObjectVersion.of(version);
+    if (version != 0 && held.era() != era.get()) {
+      return readPresent(name);
+    }
+    return watchNumber(name, held.number(), wait)
+        .thenCompose(
+            response -> {
+              boolean restored = response.statusCode() == GONE || held.era() != era.get();
+              return version != 0 && restored
+                  ? readPresent(name)
+                  : CompletableFuture.completedFuture(toWatchResult(name, response));
+            });
+  }
+
+  private CompletableFuture<WatchResult> readPresent(String name) {
+    return watchNumber(name, NO_VERSION, Duration.ZERO)
+        .thenApply(response -> toWatchResult(name, response));
+  }
+
+  private CompletableFuture<HttpResponse<byte[]>> watchNumber(
+      String name, long number, Duration wait) {
     String path =
-        objectPath(name) + "?waitAfter=" + version + "&timeoutMs=" + Math.max(1, wait.toMillis());
-    return send(name, request(path).GET(), timeout.plus(wait))
-        .thenApply(
-            response ->
-                switch (response.statusCode()) {
-                  case NOT_MODIFIED -> new WatchResult.Unchanged();
-                  case NOT_FOUND -> new WatchResult.Deleted();
-                  default -> new WatchResult.Changed(object(requireOk(name, response)));
-                });
+        objectPath(name) + "?waitAfter=" + number + "&timeoutMs=" + Math.max(1, wait.toMillis());
+    return send(name, request(path).GET(), timeout.plus(wait));
+  }
+
+  private WatchResult toWatchResult(String name, HttpResponse<byte[]> response) {
+    return switch (response.statusCode()) {
+      case NOT_MODIFIED -> new WatchResult.Unchanged();
+      case NOT_FOUND -> new WatchResult.Deleted();
+      default -> new WatchResult.Changed(object(requireOk(name, response)));
+    };
   }
 
   /** Returns the names and versions of the objects under a prefix. */
@@ -145,8 +206,11 @@
   }
 
   private CompletableFuture<Long> update(String name, HttpRequest.Builder request) {
-    return withRetries(
-        () -> send(name, request, timeout).thenApply(r -> version(requireOk(name, r))));
+    return withRetries(() -> updateOnce(name, request));
+  }
+
+  private CompletableFuture<Long> updateOnce(String name, HttpRequest.Builder request) {
+    return send(name, request, timeout).thenApply(r -> version(requireOk(name, r)));
   }
 
   private HttpRequest.Builder request(String path) {
@@ -162,6 +226,10 @@
                 Throwable cause = rootCause(failure);
                 throw new PlatformException.Unavailable(name + ": " + cause, cause);
               }
+              if (!observeEra(response)) {
+                throw new PlatformException.Unavailable(
+                    name + ": the response is from before the platform returned to a copy", null);
+              }
               if (response.statusCode() >= MIN_SERVER_ERROR) {
                 throw new PlatformException.Unavailable(
                     name + ": status " + response.statusCode(), null);
@@ -170,6 +238,20 @@
             });
   }
 
+  /** Records the era of a response; returns false if a later one is known. */
+  private boolean observeEra(HttpResponse<byte[]> response) {
+    long named = responseEra(response).orElse(era.get());
+    return era.accumulateAndGet(named, Math::max) == named;
+  }
+
+  private static OptionalLong responseEra(HttpResponse<byte[]> response) {
+    try {
+      return response.headers().firstValueAsLong(ERA_HEADER);
+    } catch (NumberFormatException e) {
+      return OptionalLong.empty();
+    }
+  }
+
   private static HttpResponse<byte[]> requireOk(String name, HttpResponse<byte[]> response) {
     return switch (response.statusCode()) {
       case OK -> response;
@@ -221,14 +303,15 @@
         : failure;
   }
 
-  private static PlatformObject object(HttpResponse<byte[]> response) {
+  private PlatformObject object(HttpResponse<byte[]> response) {
     return new PlatformObject(version(response), ByteString.copyFrom(response.body()));
   }
 
-  private static long version(HttpResponse<byte[]> response) {
+  private long version(HttpResponse<byte[]> response) {
     String etag = response.headers().firstValue("ETag").orElse("");
     try {
-      return Long.parseLong(etag.substring(1, etag.length() - 1));
+      long number = Long.parseLong(etag.substring(1, etag.length() - 1));
+      return new ObjectVersion(responseEra(response).orElse(era.get()), number).pack();
     } catch (IndexOutOfBoundsException | NumberFormatException e) {
       throw new PlatformException.Unavailable("the response has no valid ETag: " + etag, e);
     }
@@ -242,7 +325,7 @@
     return "/objects/" + name;
   }
 
-  private static String etag(long version) {
-    return "\"" + version + "\"";
+  private static String etag(long number) {
+    return "\"" + number + "\"";
   }
 }
--- a/proxy/src/test/java/org/oleanderstep/proxy/internal/platform/PlatformClientTest.java
+++ b/proxy/src/test/java/org/oleanderstep/proxy/internal/platform/PlatformClientTest.java
@@ -6,7 +6,9 @@
 import com.google.protobuf.ByteString;
 import java.time.Duration;
 import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -109,4 +111,63 @@
                 .publish("a", OptionalLong.of(version), TWO, TWO::equals)
                 .join());
   }
+
+  // Another value has the version that was read before the platform returned to a copy.
+  @Test
+  void should_refuse_an_update_that_is_based_on_an_earlier_era() {
+    clientWithoutRetries.create("a", ONE).join();
+    platform.copy();
+    long version = clientWithoutRetries.create("b", ONE).join();
+    platform.restore();
+    client(RetrySettings.NONE).create("b", TWO).join();
+    assertThat(clientWithoutRetries.get("a").join()).isPresent();
+
+    assertFailsWith(
+        PlatformException.Conflict.class,
+        () -> clientWithoutRetries.replace("b", version, ONE).join());
+    assertFailsWith(
+        PlatformException.Conflict.class, () -> clientWithoutRetries.delete("b", version).join());
+    assertThat(clientWithoutRetries.get("b").join().orElseThrow().value()).isEqualTo(TWO);
+  }
+
+  // The client has had no contact since, and the version that it holds exists again.
+  @Test
+  void should_see_a_value_with_a_version_that_was_given_out_again() {
+    platform.copy();
+    long version = clientWithoutRetries.create("a", ONE).join();
+    platform.restore();
+    client(RetrySettings.NONE).create("a", TWO).join();
+
+    WatchResult result = clientWithoutRetries.watch("a", version, Duration.ofMillis(200)).join();
+
+    assertThat(((WatchResult.Changed) result).object().value()).isEqualTo(TWO);
+    assertThat(((WatchResult.Changed) result).object().version()).isGreaterThan(version);
+    assertThat(clientWithoutRetries.era()).isEqualTo(1);
+  }
+
+  @Test
+  void should_end_a_waiting_watch_when_the_platform_returns_to_a_copy() {
+    platform.copy();
+    long version = clientWithoutRetries.create("a", ONE).join();
+    CompletableFuture<WatchResult> watch =
+        clientWithoutRetries.watch("a", version, Duration.ofSeconds(20));
+    while (platform.stats().getWaitingWatches() == 0) {
+      Thread.onSpinWait();
+    }
+
+    platform.restore();
+
+    assertThat(watch.orTimeout(5, TimeUnit.SECONDS).join()).isInstanceOf(WatchResult.Deleted.class);
+  }
+
+  @Test
+  void should_report_versions_that_rise_over_all_eras() {
+    platform.copy();
+    long first = clientWithoutRetries.create("a", ONE).join();
+    platform.restore();
+    long second = clientWithoutRetries.create("a", ONE).join();
+
+    assertThat(second).isGreaterThan(first);
+    assertThat(ObjectVersion.of(second).number()).isEqualTo(ObjectVersion.of(first).number());
+  }
 }
--- a/standins/src/main/java/org/oleanderstep/standins/platform/ObjectFiles.java
+++ b/standins/src/main/java/org/oleanderstep/standins/platform/ObjectFiles.java
@@ -23,6 +23,7 @@
 
   private static final String OBJECT_SUFFIX = ".object";
   private static final String LAST_VERSION_FILE = "last-version";
+  private static final String ERA_FILE = "era";
 
   private final Path directory;
 
@@ -52,10 +53,29 @@
 
   /** Returns the highest version that was ever given out, also to objects deleted since. */
   long readLastVersion() {
-    Path file = directory.resolve(LAST_VERSION_FILE);
+    return readNumber(LAST_VERSION_FILE);
+  }
+
+  /** Returns how often the store has returned to an older copy. */
+  long readEra() {
+    return readNumber(ERA_FILE);
+  }
+
+  private long readNumber(String name) {
+    Path file = directory.resolve(name);
     return Files.exists(file) ? ByteBuffer.wrap(read(file)).getLong() : 0;
   }
 
+  /** Replaces all files; a crash in between leaves a mixture. */
+  void replaceAll(Map<String, StoredObject> objects, long lastVersion, long era) {
+    writeNumber(ERA_FILE, era);
+    for (Path file : objectFiles()) {
+      delete(file);
+    }
+    objects.forEach((name, object) -> write(name, object, lastVersion));
+    writeLastVersion(lastVersion);
+  }
+
   void write(String name, StoredObject object, long lastVersion) {
     ByteBuffer content = ByteBuffer.allocate(Long.BYTES + object.value().size());
     content.putLong(object.version());
@@ -66,17 +86,23 @@
 
   void delete(String name, long lastVersion) {
     writeLastVersion(lastVersion);
+    delete(file(name));
+  }
+
+  private static void delete(Path file) {
     try {
-      Files.deleteIfExists(file(name));
+      Files.deleteIfExists(file);
     } catch (IOException e) {
-      throw new UncheckedIOException("cannot delete object " + name, e);
+      throw new UncheckedIOException("cannot delete " + file, e);
     }
   }
 
   private void writeLastVersion(long lastVersion) {
-    replace(
-        directory.resolve(LAST_VERSION_FILE),
-        ByteBuffer.allocate(Long.BYTES).putLong(lastVersion).array());
+    writeNumber(LAST_VERSION_FILE, lastVersion);
+  }
+
+  private void writeNumber(String name, long number) {
+    replace(directory.resolve(name), ByteBuffer.allocate(Long.BYTES).putLong(number).array());
   }
 
   private List<Path> objectFiles() {
--- a/standins/src/main/java/org/oleanderstep/standins/platform/ObjectStore.java
+++ b/standins/src/main/java/org/oleanderstep/standins/platform/ObjectStore.java
@@ -13,7 +13,7 @@
 
 /**
  * Named values with versions. Versions come from one counter, so a name that is deleted and created
- * again never gets a version twice.
+ * again never gets a version twice, unless the store returns to an older copy.
  */
 final class ObjectStore {
 
@@ -22,6 +22,15 @@
       new HashMap<>();
   private final Optional<ObjectFiles> files;
   private long lastVersion;
+  private long era;
+
+  /** The content of a store at some time, to which it can return. */
+  record Copy(Map<String, StoredObject> objects, long lastVersion) {
+
+    Copy {
+      objects = Map.copyOf(objects);
+    }
+  }
 
   /** Creates a store that reads what the files hold; without files it starts empty. */
   ObjectStore(Optional<ObjectFiles> files) {
@@ -29,6 +38,34 @@
     files.ifPresent(f -> objects.putAll(f.readAll()));
     lastVersion = files.map(ObjectFiles::readLastVersion).orElse(0L);
     objects.values().forEach(o -> lastVersion = Math.max(lastVersion, o.version()));
+    era = files.map(ObjectFiles::readEra).orElse(0L);
+  }
+
+  /** Returns how often the store has returned to an older copy. */
+  synchronized long era() {
+    return era;
+  }
+
+  synchronized Copy copy() {
+    return new Copy(objects, lastVersion);
+  }
+
+  /**
+   * Returns to a copy: later updates are lost, versions are given out again, and waiting watches
+   * are cancelled.
+   */
+  void restore(Copy copy) {
+    List<CompletableFuture<Optional<StoredObject>>> waiting = new ArrayList<>();
+    synchronized (this) {
+      era++;
+      lastVersion = copy.lastVersion();
+      objects.clear();
+      objects.putAll(copy.objects());
+      files.ifPresent(f -> f.replaceAll(objects, lastVersion, era));
+      watches.values().forEach(waiting::addAll);
+      watches.clear();
+    }
+    waiting.forEach(w -> w.completeExceptionally(new HistoryGoneException()));
   }
 
   synchronized Optional<StoredObject> get(String name) {
@@ -92,9 +129,14 @@
 
   /**
    * Returns a future that completes when the object differs from the given version: with the newer
-   * object, or empty when it was deleted. Version 0 stands for an object that does not exist.
+   * object, or empty when it was deleted. Version 0 stands for an object that does not exist. Fails
+   * with {@link HistoryGoneException} for a version that the store does not have, or when the store
+   * returns to an older copy.
    */
   synchronized CompletableFuture<Optional<StoredObject>> watch(String name, long version) {
+    if (version > lastVersion) {
+      return CompletableFuture.failedFuture(new HistoryGoneException());
+    }
     Optional<StoredObject> present = get(name);
     if (present.map(StoredObject::version).orElse(0L) != version) {
       return CompletableFuture.completedFuture(present);
--- a/standins/src/main/java/org/oleanderstep/standins/platform/PlatformHandler.java
+++ b/standins/src/main/java/org/oleanderstep/standins/platform/PlatformHandler.java
@@ -37,6 +37,9 @@
   private static final String VMS = "/vms";
   private static final String FAULTS = "/faults";
   private static final String STATS = "/stats";
+  private static final String COPY = "/copy";
+  private static final String RESTORE = "/restore";
+  private static final String ERA_HEADER = "Store-Era";
   private static final String VM_HEADER = "Oleanderstep-Vm";
   private static final long MAX_WATCH_MILLIS = 120_000;
 
@@ -93,6 +96,11 @@
       answerFaults(context, request);
     } else if (path.equals(STATS)) {
       sendJson(context, request, state.counts().snapshot());
+    } else if (path.equals(COPY) && request.method().equals(HttpMethod.PUT)) {
+      state.copyObjects();
+      sendText(context, request, HttpResponseStatus.OK, "");
+    } else if (path.equals(RESTORE) && request.method().equals(HttpMethod.PUT)) {
+      answerRestore(context, request);
     } else if (path.equals(VMS) || path.startsWith(VMS + "/")) {
       answerVms(context, request);
     } else if (path.equals(OBJECTS)) {
@@ -104,6 +112,15 @@
     }
   }
 
+  private void answerRestore(ChannelHandlerContext context, Request request) {
+    try {
+      state.restoreObjects();
+      sendText(context, request, HttpResponseStatus.OK, "");
+    } catch (IllegalStateException e) {
+      sendText(context, request, HttpResponseStatus.CONFLICT, e.getMessage());
+    }
+  }
+
   private void answerFaults(ChannelHandlerContext context, Request request)
       throws InvalidProtocolBufferException {
     if (request.method().equals(HttpMethod.PUT)) {
@@ -197,9 +214,11 @@
               if (failure == null) {
                 delayed(context, () -> sendObject(context, request, object));
               } else {
-                context
-                    .executor()
-                    .execute(() -> sendText(context, request, HttpResponseStatus.NOT_MODIFIED, ""));
+                HttpResponseStatus status =
+                    failure instanceof HistoryGoneException
+                        ? HttpResponseStatus.GONE
+                        : HttpResponseStatus.NOT_MODIFIED;
+                context.executor().execute(() -> sendText(context, request, status, ""));
               }
             });
   }
@@ -314,8 +333,8 @@
         HttpVersion.HTTP_1_1, status, Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
   }
 
-  private static void send(
-      ChannelHandlerContext context, Request request, FullHttpResponse response) {
+  private void send(ChannelHandlerContext context, Request request, FullHttpResponse response) {
+    response.headers().set(ERA_HEADER, state.objects().era());
     if (!response.status().equals(HttpResponseStatus.NOT_MODIFIED)) {
       HttpUtil.setContentLength(response, response.content().readableBytes());
     }
--- a/standins/src/main/java/org/oleanderstep/standins/platform/PlatformServer.java
+++ b/standins/src/main/java/org/oleanderstep/standins/platform/PlatformServer.java
@@ -114,6 +114,21 @@
     state.vms().delete(name);
   }
 
+  /** Remembers the present content for {@link #restore}. */
+  public void copy() {
+    state.copyObjects();
+  }
+
+  /**
+   * Returns to the content of the last {@link #copy}, as after a restore from a backup: later
+   * updates are lost, versions are given out again, and the era rises.
+   *
+   * @throws IllegalStateException if there is no copy
+   */
+  public void restore() {
+    state.restoreObjects();
+  }
+
   /** Returns the calls since the start. */
   public PlatformStats stats() {
     return state.counts().snapshot();
--- a/standins/src/main/java/org/oleanderstep/standins/platform/PlatformState.java
+++ b/standins/src/main/java/org/oleanderstep/standins/platform/PlatformState.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.Channel;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Future;
 import org.oleanderstep.schema.v1.PlatformFaults;
@@ -14,6 +15,7 @@
   private final Faults faults = new Faults();
   private final CallCounts counts = new CallCounts();
   private final Map<Channel, String> waiting = new ConcurrentHashMap<>();
+  private volatile Optional<ObjectStore.Copy> copy = Optional.empty();
 
   PlatformState(ObjectStore objects, VmRegistry vms) {
     this.objects = objects;
@@ -44,6 +46,14 @@
     waiting.remove(channel);
   }
 
+  void copyObjects() {
+    copy = Optional.of(objects.copy());
+  }
+
+  void restoreObjects() {
+    objects.restore(copy.orElseThrow(() -> new IllegalStateException("no copy was made")));
+  }
+
   /** Replaces the faults and closes waiting watches that they cut off. */
   void replaceFaults(PlatformFaults replacement) {
     faults.replace(replacement);
--- a/standins/src/test/java/org/oleanderstep/standins/platform/PlatformServerTest.java
+++ b/standins/src/test/java/org/oleanderstep/standins/platform/PlatformServerTest.java
@@ -296,6 +296,76 @@
     }
   }
 
+  @Nested
+  class OlderCopies {
+
+    private String era(HttpResponse<String> response) {
+      return response.headers().firstValue("Store-Era").orElseThrow();
+    }
+
+    @Test
+    void should_lose_what_was_written_since_the_copy() throws Exception {
+      put("a", "one");
+      send(at("/copy").PUT(BodyPublishers.noBody()));
+      String lost = etag(put("a", "two"));
+      put("b", "three");
+
+      send(at("/restore").PUT(BodyPublishers.noBody()));
+
+      assertThat(send(at("/objects/a")).body()).isEqualTo("one");
+      assertThat(send(at("/objects/b")).statusCode()).isEqualTo(404);
+      assertThat(etag(put("a", "four"))).isEqualTo(lost);
+    }
+
+    @Test
+    void should_name_the_era_in_every_response() throws Exception {
+      assertThat(era(put("a", "one"))).isEqualTo("0");
+      platform.copy();
+
+      platform.restore();
+      platform.restore();
+
+      assertThat(era(send(at("/objects/a")))).isEqualTo("2");
+      assertThat(era(send(at("/objects/absent")))).isEqualTo("2");
+      assertThat(era(send(at("/nowhere")))).isEqualTo("2");
+    }
+
+    @Test
+    void should_answer_a_watch_from_a_version_that_it_does_not_have() throws Exception {
+      platform.copy();
+      String lost = etag(put("a", "one"));
+      platform.restore();
+      String number = lost.substring(1, lost.length() - 1);
+
+      assertThat(send(at("/objects/a?waitAfter=" + number)).statusCode()).isEqualTo(410);
+    }
+
+    @Test
+    void should_refuse_to_restore_without_a_copy() throws Exception {
+      assertThat(send(at("/restore").PUT(BodyPublishers.noBody())).statusCode()).isEqualTo(409);
+    }
+
+    @Test
+    void should_keep_the_era_over_a_restart(@TempDir Path directory) throws Exception {
+      platform.close();
+      PlatformSettings settings = settings().setDataDirectory(directory.toString()).build();
+      platform = PlatformServer.start(settings);
+      put("a", "one");
+      platform.copy();
+      put("a", "two");
+      put("b", "three");
+      platform.restore();
+      platform.close();
+
+      platform = PlatformServer.start(settings);
+
+      HttpResponse<String> read = send(at("/objects/a"));
+      assertThat(read.body()).isEqualTo("one");
+      assertThat(era(read)).isEqualTo("1");
+      assertThat(send(at("/objects/b")).statusCode()).isEqualTo(404);
+    }
+  }
+
   @Nested
   class DataDirectory {
 
