Let all VMs know which of them acts in a failover

Cause: a VM learns who acquired the last fencing token only when it acquires one itself. Each VM that had ever acquired one took itself for the holder, ranked first and acted at once: at 24.285 and 24.297 s edge-pe-central-a-1 and a-2 promoted different members of the same service. Besides, the VM next in rank acted 0.7 s later, before the entries showed the first promotion (7.04 and 7.75 s, different members again).

--- a/gateway/src/main/java/org/oleanderstep/gateway/failover/PromotionPlanner.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/failover/PromotionPlanner.java
@@ -27,8 +27,8 @@
  * }</pre>
  *
  * <p>Every VM decides independently. The first VM in rank acts first. The others wait, and normally
- * see its promotion before their own delay ends. The platform's fencing makes a duplicate request
- * harmless.
+ * learn of its promotion before their own delay ends ({@link #onPromotedElsewhere}). The platform's
+ * fencing keeps requests that arrive late from taking effect after newer ones.
  *
  * <p>Not thread-safe; call only from the control thread. Times are in nanoseconds of the monotonic
  * clock.
@@ -197,6 +197,15 @@
     state(promotion).suppressedUntil = now + SETTLE_PERIOD.toNanos();
   }
 
+  /**
+   * Suppresses requests for a service for which another VM has promoted a member: until the entries
+   * of the members show it, a second request would replace that member.
+   */
+  public void onPromotedElsewhere(String service, long now) {
+    ServiceState state = states.computeIfAbsent(service, s -> new ServiceState());
+    state.suppressedUntil = now + SETTLE_PERIOD.toNanos();
+  }
+
   /** Handles the platform's response to a promotion request. */
   public void onResult(Promotion promotion, PromotionResult result, long now) {
     switch (result) {
--- a/gateway/src/test/java/org/oleanderstep/gateway/failover/PromotionPlannerTest.java
+++ b/gateway/src/test/java/org/oleanderstep/gateway/failover/PromotionPlannerTest.java
@@ -57,6 +57,21 @@
         .containsExactly(new Promotion("main", THREE, PromotionReason.UNREACHABLE));
   }
 
+  // The entries still show the old primary, so that a second VM would promote another member over
+  // the one that has just been promoted, and its commits would be lost.
+  @Test
+  void should_not_replace_a_member_that_another_vm_has_just_promoted() {
+    votes = Map.of(ONE, 3);
+    planner.onPromotedElsewhere("main", now);
+
+    assertThat(planPromotions()).isEmpty();
+    advanceTime(Duration.ofSeconds(2));
+    assertThat(planPromotions()).isEmpty();
+
+    advanceTime(Duration.ofSeconds(1));
+    assertThat(planPromotions()).hasSize(1);
+  }
+
   // A single partitioned VM must not replace a primary that serves all other VMs.
   @Test
   void should_not_promote_on_the_vote_of_a_single_vm() {
