--- a/proxy/src/main/java/org/oleanderstep/proxy/ProxyServer.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/ProxyServer.java
@@ -132,16 +132,18 @@
             NioIoHandler.newFactory());
     peerChannels = new Channels(eventLoops, TlsContexts.client(settings.getPeerTls()));
     memberChannels = new Channels(eventLoops, Optional.empty());
+    PlatformClient platform =
+        new PlatformClient(
+            URI.create(settings.getPlatform().getUrl()),
+            DurationConverter.toCore(settings.getPlatform().getTimeout()),
+            RetrySettings.NONE,
+            settings.getVm());
     control =
         new ControlThread(
             settings,
             new MemberCalls(memberChannels),
             new PeerCalls(peerChannels),
-            new PlatformClient(
-                URI.create(settings.getPlatform().getUrl()),
-                DurationConverter.toCore(settings.getPlatform().getTimeout()),
-                RetrySettings.NONE,
-                settings.getVm()),
+            platform,
             new SecureRandom());
     peerServer =
         PeerServer.start(
@@ -150,7 +152,7 @@
             eventLoops,
             List.of(new PeerService(control), new AdminService(control)));
     PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
-    ControlMetrics.register(registry, control);
+    ControlMetrics.register(registry, control, platform);
     traffic =
         TrafficServer.start(
             control, trafficSettings(), targetAccount(), registry, InstantSource.system());
--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/control/ControlMetrics.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/control/ControlMetrics.java
@@ -3,6 +3,7 @@
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.MeterRegistry;
 import java.util.function.ToDoubleFunction;
+import org.oleanderstep.proxy.internal.platform.PlatformClient;
 import org.oleanderstep.proxy.internal.traffic.ControlPlane;
 import org.oleanderstep.proxy.internal.traffic.ControlSnapshot;
 
@@ -12,7 +13,11 @@
   private ControlMetrics() {}
 
   /** Registers the gauges, which read the latest snapshot. */
-  public static void register(MeterRegistry registry, ControlPlane control) {
+  public static void register(
+      MeterRegistry registry, ControlPlane control, PlatformClient platform) {
+    Gauge.builder("oleanderstep.platform.era", platform, PlatformClient::era)
+        .description("times that the platform is known to have returned to an older copy")
+        .register(registry);
     gauge(
         registry,
         control,
--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/control/PlatformWatcher.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/control/PlatformWatcher.java
@@ -132,6 +132,7 @@
   private final Set<String> knownIntents = new HashSet<>();
   private boolean pollingVms;
   private boolean pollingIntents;
+  private long loggedEra;
   private boolean elected = true;
   private boolean reachable = true;
 
@@ -228,6 +229,7 @@
 
   /** Continues or ends the watches according to the result of the election. */
   void tick(boolean nowElected) {
+    logEra();
     if (nowElected != elected) {
       logger.info("this process {} the platform", nowElected ? "watches" : "does not watch");
     }
@@ -238,6 +240,14 @@
     }
   }
 
+  private void logEra() {
+    long era = platform.era();
+    if (era != loggedEra) {
+      logger.warn("the platform has returned to an older copy {} times so far", era);
+      loggedEra = era;
+    }
+  }
+
   /** Reads the objects and the list of VMs once at the start of the process. */
   void readAll() {
     configurationWatch.sendIfDue();
