Leave the evidence of a platform that was never restored as it was

PlatformEvidence also withheld the platform's confirmation while a peer was known to be ahead on a platform that was never restored.

--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/control/PlatformEvidence.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/control/PlatformEvidence.java
@@ -30,18 +30,23 @@
 
   /** Returns whether the platform's configuration may be taken for the newest one. */
   boolean showsNewestConfiguration() {
-    return mayBeNewest() && peers.peerWithNewestConfiguration(loop.nanoTime()).isEmpty();
+    return isNeverRestored()
+        || (hasHeardPeers() && peers.peerWithNewestConfiguration(loop.nanoTime()).isEmpty());
   }
 
   /** Returns whether the platform's share table may be taken for the newest one. */
   boolean showsNewestShares() {
-    return mayBeNewest() && peers.peerWithNewestShares(loop.nanoTime()).isEmpty();
+    return isNeverRestored()
+        || (hasHeardPeers() && peers.peerWithNewestShares(loop.nanoTime()).isEmpty());
   }
 
-  private boolean mayBeNewest() {
+  private boolean isNeverRestored() {
+    return platform.era() == 0;
+  }
+
+  /** Returns whether a peer has replied, or none has within the time for it. */
+  private boolean hasHeardPeers() {
     long now = loop.nanoTime();
-    return platform.era() == 0
-        || !peers.livePeers(now).isEmpty()
-        || now - startedAt >= PEER_WAIT.toNanos();
+    return !peers.livePeers(now).isEmpty() || now - startedAt >= PEER_WAIT.toNanos();
   }
 }
