--- a/gateway/src/test/java/org/oleanderstep/gateway/failover/PromotionPlannerTest.java
+++ b/gateway/src/test/java/org/oleanderstep/gateway/failover/PromotionPlannerTest.java
@@ -57,8 +57,7 @@
         .containsExactly(new Promotion("main", THREE, PromotionReason.UNREACHABLE));
   }
 
-  // The entries still show the old primary, so that a second VM would promote another member over
-  // the one that has just been promoted, and its commits would be lost.
+  // The entries still show the old primary; the commits of its successor would be lost.
   @Test
   void should_not_replace_a_member_that_another_vm_has_just_promoted() {
     votes = Map.of(ONE, 3);
