Write state back only to a platform that was restored

Found in the second reading: a proxy whose watch is overtaken by gossip took the platform's answer for a lost state and tried to write its configuration back, also where nothing was restored. The update is conditional on the older version, so it was refused; it cost a call and two misleading warnings. A missing object is still created whatever the era.

No test of its own: the order of gossip and watch can't be set in a fleet of the tests yet.

--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/control/PlatformWatcher.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/control/PlatformWatcher.java
@@ -168,7 +168,7 @@
     void onObject(PlatformObject value) {
       ConfigurationStore.StoredConfiguration stored = ConfigurationStore.parse(value);
       generation = stored.configuration().getGeneration();
-      if (generation < configuration.generation()) {
+      if (isSetBack(generation, configuration.generation())) {
         writeBack(OptionalLong.of(value.version()), configuration.message().toByteString());
       } else {
         configuration.offer(stored.configuration(), "the platform");
@@ -202,7 +202,7 @@
     void onObject(PlatformObject value) {
       try {
         ShareTable table = ShareTable.parseFrom(value.value());
-        if (table.getVersion() < shares.version()) {
+        if (isSetBack(table.getVersion(), shares.version())) {
           writeBack(OptionalLong.of(value.version()), shares.message().toByteString());
         } else {
           shares.onTable(table);
@@ -223,6 +223,14 @@
     void onConfirmed(long sentAt) {}
   }
 
+  /**
+   * Returns whether the platform may hold an older state than the one in force. On a platform that
+   * was never restored, an older answer was only overtaken by a peer.
+   */
+  private boolean isSetBack(long stored, long inForce) {
+    return platform.era() > 0 && stored < inForce;
+  }
+
   boolean isElected() {
     return elected;
   }
