Respect claims that only the VM itself has seen when the store is restored

Callers of an organisation could have had almost half as much again as its rate, for up to four minutes.

Cause: a VM writes a claim and uses it at once. If the store returns to an older copy before the watches of the others report the claim, and the VM is cut off, its report and its claim are lost, and nothing that the others remember shows that it has a share. They corrected their own claims, found that all VMs they knew of had done so, and took the share again.

Ruled out: a write of the cut-off VM that arrives after the restore (its entry is closed first), and a claim that a VM raised before all had corrected theirs.

Each VM now remembers which VMs it knew before the restore, and names those without a correction in the corrected claims, so that a VM which never knew them waits as well. No share grows before they have corrected theirs, or until claims of before have ended, as it was already for VMs that the copy knows.

Not covered: a new VM that no other VM has seen at all, and, for an organisation that is added just then, a VM that stays cut off for more than 20 s.

--- a/core/src/main/java/org/oleanderstep/core/admission/RateClaims.java
+++ b/core/src/main/java/org/oleanderstep/core/admission/RateClaims.java
@@ -16,8 +16,8 @@
  *
  * @param shares shares by organisation and VM, each from 0 to 1
  * @param demand operations a second that callers request from each VM, by organisation and VM
- * @param eras by VM, the era of the store in which its shares were established; empty if the claims
- *     were written by a version that knows no eras
+ * @param eras by VM, the era of the store in which its shares were established, also of VMs that
+ *     have none; empty if the claims were written by a version that knows no eras
  */
 public record RateClaims(
     Map<OrganisationId, Map<VmId, Double>> shares,
@@ -53,6 +53,16 @@
     return new RateClaims(shares, demand, changed);
   }
 
+  /**
+   * Returns a copy that names VMs which may use shares of before an era, although these claims show
+   * none; VMs that are named already are left unchanged.
+   */
+  public RateClaims withUnestablished(Set<VmId> vms, long era) {
+    Map<VmId, Long> changed = new HashMap<>(eras);
+    vms.forEach(vm -> changed.putIfAbsent(vm, era - 1));
+    return new RateClaims(shares, demand, changed);
+  }
+
   /** Returns the VMs whose shares differ between these claims and others. */
   public Set<VmId> changedVms(RateClaims other) {
     Set<OrganisationId> organisations = new HashSet<>(shares.keySet());
--- a/core/src/test/java/org/oleanderstep/core/admission/RestoredClaimsTest.java
+++ b/core/src/test/java/org/oleanderstep/core/admission/RestoredClaimsTest.java
@@ -22,7 +22,9 @@
 
   private static RateClaims correct(
       RateClaims found, RateClaims remembered, Map<OrganisationId, Double> inUse) {
-    return RestoredClaims.correct(found, remembered, inUse, ONE, ERA);
+    RestoredClaims.Before before =
+        new RestoredClaims.Before(remembered, inUse, Set.of(ONE, TWO, THREE));
+    return RestoredClaims.correct(found, before, ONE, ERA);
   }
 
   @Test
@@ -67,6 +69,18 @@
     assertThat(corrected.claimedBy(SHOP, TWO)).isEqualTo(0.125);
   }
 
+  // Another VM that does not know it would otherwise take what it uses.
+  @Test
+  void should_name_a_vm_whose_claims_no_other_vm_has_seen() {
+    RateClaims found = new RateClaims(Map.of(), Map.of(), Map.of(TWO, ERA));
+
+    RateClaims corrected = correct(found, RateClaims.NONE, Map.of());
+
+    assertThat(corrected.eras().keySet()).containsExactly(ONE, TWO, THREE);
+    assertThat(corrected.isEstablished(TWO, ERA)).isTrue();
+    assertThat(corrected.isEstablished(THREE, ERA)).isFalse();
+  }
+
   // Claims without eras were written by a version that knows none.
   @Test
   void should_trust_claims_without_eras() {
