--- a/review/standins/review/Fleet.java
+++ b/review/standins/review/Fleet.java
@@ -34,6 +34,9 @@
   /** A call to promote a database, as the platform has received it. */
   record Order(String service, String id, String holder, long token, int status, double at) {}
 
+  /** The port on which the project's processes serve metrics, so that it has to be free anyway. */
+  private static final int LOCK_PORT = 9464;
+
   private static final String TEMPLATE = "deploy/settings.template.json";
 
   final Recorder record;
@@ -48,7 +51,8 @@
   private final boolean checksFences;
   private final Map<String, Long> seenTokens = new LinkedHashMap<>();
   private final Path folder;
-  private final int network = ThreadLocalRandom.current().nextInt(1, 250);
+  private final ServerSocket networkLock = lockNetwork();
+  private final int network = networkLock.getInetAddress().getAddress()[1] & 0xff;
   private int hosts;
 
   Fleet(Recorder record, boolean checksFences) throws IOException {
@@ -71,6 +75,21 @@
     Runtime.getRuntime().addShutdownHook(new Thread(this::endProcesses));
   }
 
+  /** Chooses a part of the loopback range that no other run of a case uses at the same time. */
+  private static ServerSocket lockNetwork() throws IOException {
+    for (int attempt = 0; attempt < 100; attempt++) {
+      byte network = (byte) ThreadLocalRandom.current().nextInt(1, 250);
+      ServerSocket lock = new ServerSocket();
+      try {
+        lock.bind(new InetSocketAddress(InetAddress.getByAddress(new byte[] {127, network, 100, 1}), LOCK_PORT));
+        return lock;
+      } catch (IOException e) {
+        lock.close();
+      }
+    }
+    throw new IOException("no free part of the loopback range was found");
+  }
+
   private static Thread daemon(Runnable action) {
     Thread thread = new Thread(action);
     thread.setDaemon(true);
@@ -239,7 +258,12 @@
       }
       Thread.sleep(100);
     }
-    record.say("the processes are not ready after 30 s; their logs are in " + folder);
+    record.say("the processes are not ready after 30 s");
+    for (Proxy proxy : proxies) {
+      if (!proxy.isReady()) {
+        record.say(proxy.name + " says: " + Files.readString(folder.resolve(proxy.name + ".log")));
+      }
+    }
     return false;
   }
 
@@ -285,6 +309,11 @@
     store.stop();
     timer.shutdownNow();
     threads.shutdownNow();
+    try {
+      networkLock.close();
+    } catch (IOException e) {
+      // Nothing is left to release.
+    }
     deleteLogs();
   }
 
