Ask the replicas what they have received before one is promoted

The replica that had received nothing for three seconds was promoted, although the other one had every commit.

Cause: PromotionPlanner chose by the position that each replica had last reported in any answer, whenever that was. On a service that is used through primary routes only, no replica had ever reported one, so that the greatest name won. sync_replicas was not read. All three reasons for a promotion (unreachable, missing, leaving) used this choice, with sync_replicas 0 too.

With the choice put back to earlier positions, three tests of PromotionPlannerTest fail: positions after the loss, a draining primary, every replica that may have a commit.

Ruled out: an answer of the deaf replica that came late (its position never changed); the proxy with its own protocol, where FailoverController promotes only with promises of a majority that carry the received position.

Only a member that answered can be chosen. With sync_replicas above 0 fewer than that many of the replicas that may have a commit may be silent, and only a member with the highest position is promoted; a replica whose entry is gone is given up after 60 s. The reason is checked again after the answers.

--- a/gateway/src/main/java/org/oleanderstep/gateway/Gateway.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/Gateway.java
@@ -12,13 +12,16 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import org.oleanderstep.core.admission.DemandMeter;
 import org.oleanderstep.core.admission.RateLimiter;
 import org.oleanderstep.core.admission.TokenBorrower;
 import org.oleanderstep.core.freshness.SuspendAwareClock;
+import org.oleanderstep.core.model.MemberId;
 import org.oleanderstep.core.model.OrganisationId;
 import org.oleanderstep.core.model.VmId;
+import org.oleanderstep.core.position.LogPosition;
 import org.oleanderstep.gateway.control.GatewayConfiguration;
 import org.oleanderstep.gateway.control.MemberDirectory;
 import org.oleanderstep.gateway.control.TargetMember;
@@ -52,7 +55,8 @@
 
   private static final Duration METER_INTERVAL = Duration.ofMillis(500);
   private static final GatewayConfiguration EMPTY_CONFIGURATION =
-      new GatewayConfiguration(0, Map.of(), Map.of(), Map.of(), Map.of(), Duration.ofSeconds(3));
+      new GatewayConfiguration(
+          0, Map.of(), Map.of(), Map.of(), Map.of(), Map.of(), Duration.ofSeconds(3));
   private static final int DEFAULT_CONNECTION_LIMIT = 8;
 
   private final String failureDomain;
@@ -205,6 +209,16 @@
     List.copyOf(sessions).forEach(Session::abortTransaction);
   }
 
+  /**
+   * Asks members of a service which log position each has received. The result has the positions of
+   * those that have answered in time; it never fails.
+   */
+  public CompletableFuture<Map<MemberId, LogPosition>> askPositions(
+      String service, Set<MemberId> members) {
+    ServicePool pool = services.get(service);
+    return pool == null ? CompletableFuture.completedFuture(Map.of()) : pool.askPositions(members);
+  }
+
   /** Returns the pools of all services by name. */
   public Map<String, ServicePool> services() {
     return Collections.unmodifiableMap(services);
--- a/gateway/src/main/java/org/oleanderstep/gateway/control/GatewayConfiguration.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/control/GatewayConfiguration.java
@@ -13,6 +13,7 @@
  * @param organisations by key
  * @param limits rate and burst by organisation
  * @param connectionLimits by service, the connections that a member accepts from all VMs together
+ * @param syncReplicas by service, the replicas that have received a commit when it is acknowledged
  * @param transactionIdle time after which an idle transaction may be rolled back
  */
 public record GatewayConfiguration(
@@ -21,6 +22,7 @@
     Map<String, OrganisationId> organisations,
     Map<OrganisationId, RateLimiter.Limit> limits,
     Map<String, Integer> connectionLimits,
+    Map<String, Integer> syncReplicas,
     Duration transactionIdle) {
 
   /** Makes defensive copies of the maps. */
@@ -29,5 +31,6 @@
     organisations = Map.copyOf(organisations);
     limits = Map.copyOf(limits);
     connectionLimits = Map.copyOf(connectionLimits);
+    syncReplicas = Map.copyOf(syncReplicas);
   }
 }
--- a/gateway/src/main/java/org/oleanderstep/gateway/target/MemberPool.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/target/MemberPool.java
@@ -39,6 +39,9 @@
   /** Time within which a replica typically receives and applies a commit. */
   private static final Duration TYPICAL_REPLICATION_LAG = Duration.ofMillis(120);
 
+  /** The name under which the proxy itself connects. */
+  private static final OrganisationId INQUIRER = new OrganisationId("-");
+
   /** Failures must persist this long before the member is suspected. */
   private static final Duration SUSPICION_DELAY = Duration.ofMillis(200);
 
@@ -231,9 +234,25 @@
     return idle;
   }
 
+  /**
+   * Leases a connection to ask the member for its position. If none is idle, starts to open one,
+   * also above the limit: a failover must not wait for the transactions that hold the others.
+   */
+  Optional<PooledConnection> leaseForInquiry() {
+    Optional<PooledConnection> idle = tryLeaseAny();
+    if (idle.isEmpty() && attempts.isEmpty() && mayConnect()) {
+      open(INQUIRER);
+    }
+    return idle;
+  }
+
+  private boolean mayConnect() {
+    return !removed && !wrongTarget && now() - openNotBefore >= 0;
+  }
+
   /** Starts to open a connection for an organisation, unless the limit or a backoff prevents it. */
   boolean tryOpen(OrganisationId organisation) {
-    if (removed || wrongTarget || now() - openNotBefore < 0) {
+    if (!mayConnect()) {
       return false;
     }
     boolean allowed =
--- a/gateway/src/main/java/org/oleanderstep/gateway/target/ServicePool.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/target/ServicePool.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import org.oleanderstep.core.freshness.ClockReading;
 import org.oleanderstep.core.freshness.PositionHistory;
 import org.oleanderstep.core.freshness.SuspendAwareClock;
@@ -62,6 +63,7 @@
   private Set<MemberId> suspects = Set.of();
   private Optional<MemberId> lastPrimary = Optional.empty();
   private Optional<OrganisationId> lastOrganisation = Optional.empty();
+  private final List<PositionInquiry> inquiries = new ArrayList<>();
   private boolean sampleInFlight;
   private boolean granting;
   private boolean grantAgain;
@@ -154,7 +156,18 @@
     history.add(requestedAt, position);
   }
 
-  /** Returns the last reported position of each member, for the choice of a new primary. */
+  /**
+   * Asks members which log position each has received. The result has the positions of those that
+   * have answered in time; it never fails.
+   */
+  public CompletableFuture<Map<MemberId, LogPosition>> askPositions(Set<MemberId> members) {
+    PositionInquiry inquiry = new PositionInquiry(members, nowNanos());
+    inquiries.add(inquiry);
+    inquiry.tick(pools, nowNanos());
+    return inquiry.result();
+  }
+
+  /** Returns the last reported position of each member. */
   public Map<MemberId, LogPosition> positions() {
     Map<MemberId, LogPosition> positions = new HashMap<>();
     pools.forEach((id, pool) -> positions.put(id, pool.lastPosition()));
@@ -281,6 +294,8 @@
     retiredPools.removeIf(MemberPool::isTerminated);
     updateSuspects();
     updatePrimary();
+    inquiries.forEach(inquiry -> inquiry.tick(pools, now));
+    inquiries.removeIf(inquiry -> inquiry.result().isDone());
     sampleIfDue();
     grantPending();
   }
--- a/gateway/src/main/java/org/oleanderstep/gateway/target/TargetCommand.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/target/TargetCommand.java
@@ -43,4 +43,10 @@
 
   /** Clears variables and prepared statements. */
   record Reset() implements TargetCommand {}
+
+  /**
+   * Asks for the last commit that the member has received. The position of the reply is that
+   * commit's, or the last one that the member has applied if it does not tell the former.
+   */
+  record ReportReceived() implements TargetCommand {}
 }
--- a/gateway/src/test/java/org/oleanderstep/gateway/FakeMember.java
+++ b/gateway/src/test/java/org/oleanderstep/gateway/FakeMember.java
@@ -45,6 +45,8 @@
   public final List<String> executedStatements = new ArrayList<>();
   public final List<String> organisations = new ArrayList<>();
   public LogPosition position = new LogPosition(1, 100);
+  public Optional<LogPosition> receivedPosition = Optional.empty();
+  public int refusedInquiries;
   public boolean primary;
   public boolean claimsPrimary;
   public boolean draining;
@@ -121,7 +123,9 @@
       if (answer instanceof Answer.Failure && status == SessionStatus.IN_TRANSACTION) {
         status = SessionStatus.FAILED_TRANSACTION;
       }
-      onReply.accept(new TargetReply(answer, status, Optional.of(position)));
+      boolean inquiry = command instanceof TargetCommand.ReportReceived;
+      LogPosition told = inquiry ? receivedPosition.orElse(position) : position;
+      onReply.accept(new TargetReply(answer, status, Optional.of(told)));
     }
 
     private Answer run(TargetCommand command) {
@@ -138,6 +142,9 @@
         prepared.put(prepare.name(), prepare.effect());
         return Answer.DONE;
       }
+      if (command instanceof TargetCommand.ReportReceived) {
+        return refusedInquiries-- > 0 ? failure(FailureCode.OVERLOADED) : Answer.DONE;
+      }
       if (command instanceof TargetCommand.Begin begin) {
         return begin(begin);
       }
--- a/gateway/src/test/java/org/oleanderstep/gateway/GatewayFixture.java
+++ b/gateway/src/test/java/org/oleanderstep/gateway/GatewayFixture.java
@@ -100,6 +100,7 @@
             keys,
             Map.of(SHOP, limit, LAB, limit),
             Map.of(SERVICE, connections),
+            Map.of(),
             Duration.ofSeconds(3)));
   }
 
--- a/gateway/src/test/java/org/oleanderstep/gateway/failover/PromotionPlannerTest.java
+++ b/gateway/src/test/java/org/oleanderstep/gateway/failover/PromotionPlannerTest.java
@@ -5,6 +5,8 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -27,17 +29,33 @@
   private Set<MemberId> suspects = Set.of();
   private Map<MemberId, LogPosition> positions =
       Map.of(TWO, new LogPosition(1, 10), THREE, new LogPosition(1, 20));
+  private Map<String, Integer> syncReplicas = Map.of();
   private int rank;
   private long now = Duration.ofHours(1).toNanos();
 
   private static TargetMember member(MemberId id, boolean primary, boolean draining) {
-    InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), 1);
+    int port = 1 + List.of(ONE, TWO, THREE).indexOf(id);
+    InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
     return new TargetMember(id, 1, "main", address, "zone", 2, draining, primary);
   }
 
+  private PromotionPlanner.View view() {
+    return new PromotionPlanner.View(members, votes, suspects, positions, syncReplicas, VMS, rank);
+  }
+
+  /** Plans with members that, when asked, report the last known positions. */
   private List<Promotion> planPromotions() {
-    return planner.planPromotions(
-        new PromotionPlanner.View(members, votes, suspects, positions, VMS, rank), now);
+    return planPromotions(positions);
+  }
+
+  private List<Promotion> planPromotions(Map<MemberId, LogPosition> reported) {
+    List<Promotion> promotions = new ArrayList<>();
+    for (PromotionNeed need : planner.findNeeds(view(), now)) {
+      Map<MemberId, LogPosition> answers = new HashMap<>(reported);
+      answers.keySet().retainAll(planner.membersToAsk(need, view(), now));
+      planner.choose(need, answers, view(), now).ifPresent(promotions::add);
+    }
+    return promotions;
   }
 
   private void advanceTime(Duration time) {
@@ -183,7 +201,7 @@
   void should_not_request_again_while_a_promotion_takes_effect() {
     votes = Map.of(ONE, 3);
     Promotion promotion = planPromotions().get(0);
-    planner.onRequested(promotion, now);
+    planner.onStarted(new PromotionNeed(promotion.service(), promotion.reason()), now);
     planner.onResult(promotion, PromotionResult.ACCEPTED, now);
 
     advanceTime(Duration.ofSeconds(1));
@@ -195,10 +213,102 @@
   void should_choose_another_member_after_a_refusal() {
     votes = Map.of(ONE, 3);
     Promotion promotion = planPromotions().get(0);
-    planner.onRequested(promotion, now);
+    planner.onStarted(new PromotionNeed(promotion.service(), promotion.reason()), now);
     planner.onResult(promotion, PromotionResult.REFUSED, now);
 
     advanceTime(Duration.ofMillis(450));
     assertThat(planPromotions().get(0).member()).isEqualTo(TWO);
   }
+
+  // The last known positions were those of the time before one replica stopped receiving.
+  @Test
+  void should_choose_by_the_positions_that_members_report_after_the_loss() {
+    planPromotions();
+    votes = Map.of(ONE, 3);
+
+    assertThat(planPromotions(Map.of(TWO, new LogPosition(1, 30), THREE, new LogPosition(1, 20))))
+        .containsExactly(new Promotion("main", TWO, PromotionReason.UNREACHABLE));
+  }
+
+  @Test
+  void should_not_choose_a_member_that_does_not_answer_when_it_is_asked() {
+    votes = Map.of(ONE, 3);
+
+    assertThat(planPromotions(Map.of())).isEmpty();
+    assertThat(planPromotions(Map.of(TWO, new LogPosition(1, 5))))
+        .containsExactly(new Promotion("main", TWO, PromotionReason.UNREACHABLE));
+  }
+
+  // The member that does not answer may be the only one with an acknowledged commit.
+  @Test
+  void should_wait_for_every_replica_that_may_have_an_acknowledged_commit() {
+    syncReplicas = Map.of("main", 1);
+    planPromotions();
+    votes = Map.of(ONE, 3);
+
+    assertThat(planPromotions(Map.of(THREE, new LogPosition(1, 20)))).isEmpty();
+    members = List.of(member(ONE, true, false), member(THREE, false, false));
+    assertThat(planPromotions(Map.of(THREE, new LogPosition(1, 20)))).isEmpty();
+    members =
+        List.of(member(ONE, true, false), member(TWO, false, false), member(THREE, false, false));
+    assertThat(planPromotions(Map.of(TWO, new LogPosition(1, 25), THREE, new LogPosition(1, 20))))
+        .containsExactly(new Promotion("main", TWO, PromotionReason.UNREACHABLE));
+  }
+
+  @Test
+  void should_need_fewer_answers_the_more_replicas_confirm_a_commit() {
+    syncReplicas = Map.of("main", 2);
+    planPromotions();
+    votes = Map.of(ONE, 3);
+
+    assertThat(planPromotions(Map.of(THREE, new LogPosition(1, 20))))
+        .containsExactly(new Promotion("main", THREE, PromotionReason.UNREACHABLE));
+  }
+
+  // A planned stop loses commits just as a crash does.
+  @Test
+  void should_replace_a_draining_primary_by_the_replica_with_every_acknowledged_commit() {
+    syncReplicas = Map.of("main", 1);
+    members =
+        List.of(member(ONE, true, true), member(TWO, false, true), member(THREE, false, false));
+
+    assertThat(planPromotions(Map.of(TWO, new LogPosition(1, 25), THREE, new LogPosition(1, 20))))
+        .containsExactly(new Promotion("main", TWO, PromotionReason.LEAVING));
+  }
+
+  // The platform refused the member with the highest position; the next one lacks commits.
+  @Test
+  void should_not_fall_back_to_a_replica_that_lacks_an_acknowledged_commit() {
+    syncReplicas = Map.of("main", 1);
+    votes = Map.of(ONE, 3);
+    Promotion promotion = planPromotions().get(0);
+    planner.onResult(promotion, PromotionResult.REFUSED, now);
+
+    advanceTime(Duration.ofMillis(450));
+    assertThat(planPromotions()).isEmpty();
+    advanceTime(Duration.ofSeconds(3));
+    assertThat(planPromotions()).containsExactly(promotion);
+  }
+
+  // Nothing waits for an operator: a replica that has left for good does not come back.
+  @Test
+  void should_not_wait_for_a_replica_that_has_left_long_ago() {
+    syncReplicas = Map.of("main", 1);
+    planPromotions();
+    votes = Map.of(ONE, 3);
+    members = List.of(member(ONE, true, false), member(THREE, false, false));
+    planPromotions();
+
+    advanceTime(Duration.ofSeconds(61));
+    assertThat(planPromotions(Map.of(THREE, new LogPosition(1, 20)))).hasSize(1);
+  }
+
+  @Test
+  void should_not_promote_after_the_primary_has_answered_again() {
+    votes = Map.of(ONE, 3);
+    PromotionNeed need = planner.findNeeds(view(), now).get(0);
+    votes = Map.of();
+
+    assertThat(planner.choose(need, positions, view(), now)).isEmpty();
+  }
 }
