Refuse new work in the second half of a planned stop

Cause: GracefulShutdown closed idle sessions, but the process accepted connections and statements until it exited, 0.9 s before the end of the grace period, whatever it served then. Where most of a failure domain stops, the platform sends callers to it all the while. A session with pipelined statements was never idle; one that had just opened, or had received half of a statement, was taken for idle; and a process that was told to stop while it started could still open its port.

Ruled out: too short a grace period (each request takes 0.1 s); the order of answer and close within a packet, which has a test.

Why it works: after half of the grace period the port is closed, new work is refused as not run and transactions are rolled back, so that what was accepted has the rest of the period; 0.9 s before its end, statements that still run get a final answer. Sessions get 0.5 s for their first statement, and partial statements count. The time counts from the signal.

--- a/gateway/src/main/java/org/oleanderstep/gateway/Gateway.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/Gateway.java
@@ -77,6 +77,7 @@
   private final AdmissionQueues admission;
   private long meterRolledAt;
   private int vmCount = 1;
+  private boolean accepting = true;
 
   /** Creates a gateway without routes and members. */
   public Gateway(
@@ -180,6 +181,9 @@
   public Session newSession(CallerChannel channel) {
     Session session = new Session(this, channel);
     sessions.add(session);
+    if (!accepting) {
+      session.refuseNewWork();
+    }
     return session;
   }
 
@@ -204,6 +208,21 @@
     List.copyOf(sessions).forEach(session -> session.closeWhenIdle(affected));
   }
 
+  /**
+   * Starts nothing new: refuses sessions that open from now on, and statements of open sessions
+   * that would need a member.
+   */
+  public void stopAccepting() {
+    accepting = false;
+    List.copyOf(sessions).forEach(Session::refuseNewWork);
+  }
+
+  /** Answers every outstanding statement now, and closes all sessions. */
+  public void endSessions() {
+    List.copyOf(sessions)
+        .forEach(session -> runGuarded("session", session::end, session::terminate));
+  }
+
   /** Rolls back all open transactions that are not executing a statement. */
   public void abortTransactions() {
     List.copyOf(sessions).forEach(Session::abortTransaction);
--- a/gateway/src/main/java/org/oleanderstep/gateway/session/AdmissionTask.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/session/AdmissionTask.java
@@ -85,6 +85,12 @@
     // The queue checks the wait limit.
   }
 
+  @Override
+  public void expire() {
+    environment.admission().cancel(this);
+    refuse();
+  }
+
   @Override
   public void abandon() {
     environment.admission().cancel(this);
--- a/gateway/src/main/java/org/oleanderstep/gateway/session/CallerChannel.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/session/CallerChannel.java
@@ -15,6 +15,9 @@
   /** Closes the connection after all pending writes. */
   void close();
 
+  /** Returns whether the caller has sent a part of its next statement. */
+  boolean isReceiving();
+
   /** Runs an action after all statements that have been received are passed to the session. */
   void runAfterInput(Runnable action);
 }
--- a/gateway/src/main/java/org/oleanderstep/gateway/session/Session.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/session/Session.java
@@ -1,5 +1,6 @@
 package org.oleanderstep.gateway.session;
 
+import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -35,6 +36,14 @@
   private static final int MAX_QUEUED_STATEMENTS = 64;
   private static final int MAX_NAMES = 128;
 
+  /**
+   * Time for the first statement after a caller has connected. A session that is closed sooner
+   * loses a statement that is on its way.
+   */
+  private static final Duration FIRST_STATEMENT_WAIT = Duration.ofMillis(500);
+
+  private static final String STOPPING = "the proxy is stopping; retry at another one";
+
   /** The organisation of callers without a key, on routes that allow it. */
   private static final OrganisationId ANONYMOUS = new OrganisationId("-");
 
@@ -55,14 +64,18 @@
   private boolean busy;
   private long startedAt;
   private String requestId = "";
+  private long connectedAt;
   private boolean opened;
+  private boolean used;
   private boolean closing;
+  private boolean refusing;
   private boolean closed;
 
   /** Creates a session that has yet to be opened. */
   public Session(SessionEnvironment environment, CallerChannel channel) {
     this.environment = environment;
     this.channel = channel;
+    connectedAt = now();
   }
 
   private long now() {
@@ -77,6 +90,10 @@
     }
     database = requestedDatabase;
     key = presentedKey;
+    if (refusing) {
+      reject(FailureCode.OVERLOADED, STOPPING);
+      return;
+    }
     GatewayConfiguration configuration = environment.configuration();
     GatewayRoute route = configuration.routes().get(database);
     if (route == null) {
@@ -89,6 +106,7 @@
       return;
     }
     opened = true;
+    connectedAt = now();
     channel.opened();
   }
 
@@ -127,6 +145,25 @@
     }
   }
 
+  /**
+   * Refuses to open from now on, refuses statements that would need a member, and closes the
+   * session as soon as it is idle. A transaction may still end.
+   */
+  public void refuseNewWork() {
+    refusing = true;
+    closeWhenIdle();
+  }
+
+  /** Answers every outstanding statement now, and closes the session. */
+  public void end() {
+    refusing = true;
+    task.ifPresent(StatementTask::expire);
+    if (!closed) {
+      closed = true;
+      channel.close();
+    }
+  }
+
   // A statement that arrived with the last one is still answered.
   private void closeIfIdle() {
     if (mayClose()) {
@@ -142,7 +179,16 @@
   }
 
   private boolean mayClose() {
-    return closing && !closed && !busy && status == SessionStatus.IDLE;
+    return closing
+        && !closed
+        && !busy
+        && status == SessionStatus.IDLE
+        && !channel.isReceiving()
+        && !expectsFirstStatement();
+  }
+
+  private boolean expectsFirstStatement() {
+    return !used && !refusing && now() - connectedAt < FIRST_STATEMENT_WAIT.toNanos();
   }
 
   /** Ends the session because of a defect; statements without an answer get none. */
@@ -197,6 +243,7 @@
 
   private void serve(Statement statement) {
     busy = true;
+    used = true;
     startedAt = now();
     requestId = statement.id();
     dispatch(statement);
@@ -207,6 +254,10 @@
       serveInFailedTransaction(statement);
       return;
     }
+    if (refusing && needsMember(statement.kind())) {
+      refuseWhileStopping();
+      return;
+    }
     switch (statement.kind()) {
       case SET -> set(statement);
       case PREPARE -> prepare(statement);
@@ -219,6 +270,22 @@
     }
   }
 
+  private static boolean needsMember(StatementKind kind) {
+    return switch (kind) {
+      case BEGIN, BEGIN_READ, READ, WRITE, EXECUTE -> true;
+      case SET, PREPARE, DEALLOCATE, COMMIT, ROLLBACK, INVALID -> false;
+    };
+  }
+
+  private void refuseWhileStopping() {
+    if (transaction.isPresent()) {
+      failTransaction();
+      fail(FailureCode.ABORTED, STOPPING);
+    } else {
+      fail(FailureCode.OVERLOADED, STOPPING);
+    }
+  }
+
   private void serveInFailedTransaction(Statement statement) {
     switch (statement.kind()) {
       case ROLLBACK -> rollBack();
--- a/gateway/src/main/java/org/oleanderstep/gateway/session/SingleStatementTask.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/session/SingleStatementTask.java
@@ -25,6 +25,8 @@
  */
 final class SingleStatementTask implements StatementTask {
 
+  private static final String NO_ANSWER = "the member did not answer in time";
+
   private final SessionEnvironment environment;
   private final ServicePool service;
   private final GatewayRoute route;
@@ -292,9 +294,13 @@
 
   @Override
   public void tick(long now) {
-    if (done || now - deadline < 0) {
-      return;
+    if (!done && now - deadline >= 0) {
+      expire();
     }
+  }
+
+  @Override
+  public void expire() {
     boolean sent = connection != null;
     service.cancel(request);
     PooledConnection held = connection;
@@ -304,10 +310,8 @@
       return;
     }
     FailureCode code = statement.writes() ? FailureCode.UNKNOWN_OUTCOME : FailureCode.TIMEOUT;
-    finish(
-        new Answer.Failure(code, "the member did not answer within the route's timeout"),
-        Optional.empty());
-    held.close("the member did not answer within the route's timeout");
+    finish(new Answer.Failure(code, NO_ANSWER), Optional.empty());
+    held.close(NO_ANSWER);
   }
 
   @Override
--- a/gateway/src/main/java/org/oleanderstep/gateway/session/TransactionStatementTask.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/session/TransactionStatementTask.java
@@ -23,6 +23,8 @@
   /** The outcome for the session. */
   record Result(Answer answer, SessionStatus status, Optional<LogPosition> position) {}
 
+  private static final String NO_ANSWER = "the member did not answer in time";
+
   private final SessionEnvironment environment;
   private final TransactionState transaction;
   private final OrganisationId organisation;
@@ -293,15 +295,16 @@
     }
   }
 
-  private void expire() {
+  @Override
+  public void expire() {
     request.ifPresent(transaction.service()::cancel);
     if (beginningConnection.isPresent()) {
       PooledConnection held = beginningConnection.get();
       fail(FailureCode.ABORTED, "the member did not begin the transaction in time");
-      held.close("the member did not answer within the route's timeout");
+      held.close(NO_ANSWER);
     } else if (sent) {
       // Closing the connection makes the member roll back, unless a commit is in progress.
-      transaction.connection().close("the member did not answer within the route's timeout");
+      transaction.connection().close(NO_ANSWER);
     } else {
       fail(FailureCode.ABORTED, "no connection became free in time");
     }
--- a/gateway/src/test/java/org/oleanderstep/gateway/FakeCaller.java
+++ b/gateway/src/test/java/org/oleanderstep/gateway/FakeCaller.java
@@ -21,6 +21,7 @@
   public SessionStatus status = SessionStatus.IDLE;
   public boolean opened;
   public boolean closed;
+  public boolean receiving;
 
   /** Thrown instead of recording the next answer, if set. */
   public RuntimeException defect;
@@ -111,6 +112,11 @@
     closed = true;
   }
 
+  @Override
+  public boolean isReceiving() {
+    return receiving;
+  }
+
   @Override
   public void runAfterInput(Runnable action) {
     action.run();
--- a/gateway/src/test/java/org/oleanderstep/gateway/session/SessionStateTest.java
+++ b/gateway/src/test/java/org/oleanderstep/gateway/session/SessionStateTest.java
@@ -6,6 +6,7 @@
 import static org.oleanderstep.gateway.GatewayFixture.PRIMARY_DATABASE;
 import static org.oleanderstep.gateway.GatewayFixture.SHOP_KEY;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
@@ -14,6 +15,8 @@
 
 class SessionStateTest {
 
+  private static final Duration FIRST_STATEMENT_WAIT = Duration.ofMillis(500);
+
   private final GatewayFixture fixture = new GatewayFixture();
 
   private FakeCaller open() {
@@ -149,6 +152,7 @@
     FakeCaller idle = open();
     FakeCaller inTransaction = open();
     inTransaction.run(StatementKind.BEGIN, "BEGIN");
+    fixture.advanceTime(FIRST_STATEMENT_WAIT);
 
     fixture.gateway.closeIdleSessions();
 
@@ -157,4 +161,98 @@
     inTransaction.run(StatementKind.ROLLBACK, "ROLLBACK");
     assertThat(inTransaction.closed).isTrue();
   }
+
+  // The first statement of a caller that has just connected is on its way.
+  @Test
+  void should_not_close_a_session_before_its_first_statement_can_arrive() {
+    FakeCaller caller = open();
+
+    fixture.gateway.closeIdleSessions();
+    assertThat(caller.closed).isFalse();
+    caller.read();
+
+    assertThat(caller.last()).isInstanceOf(Answer.Success.class);
+    assertThat(caller.closed).isTrue();
+  }
+
+  // The rest of a long statement is on its way.
+  @Test
+  void should_not_close_a_session_that_has_received_a_part_of_a_statement() {
+    FakeCaller caller = open();
+    caller.read();
+    caller.receiving = true;
+
+    fixture.gateway.closeIdleSessions();
+    assertThat(caller.closed).isFalse();
+    caller.receiving = false;
+    caller.read();
+
+    assertThat(caller.last()).isInstanceOf(Answer.Success.class);
+    assertThat(caller.closed).isTrue();
+  }
+
+  // With a steady stream of statements, a session is never idle.
+  @Test
+  void should_refuse_pipelined_statements_that_have_not_started_when_the_proxy_stops() {
+    FakeCaller caller = open();
+    caller.send(StatementKind.WRITE, "WRITE item first");
+    caller.send(StatementKind.WRITE, "WRITE item second");
+    fixture.gateway.stopAccepting();
+    fixture.deliver();
+
+    assertThat(caller.answers).hasSize(2);
+    assertThat(caller.answers.get(0)).isInstanceOf(Answer.Success.class);
+    assertThat(caller.failure()).isEqualTo(FailureCode.OVERLOADED);
+    assertThat(caller.closed).isTrue();
+    assertThat(fixture.first.executedStatements).doesNotContain("WRITE item second {}");
+  }
+
+  @Test
+  void should_let_a_transaction_end_but_not_go_on_when_the_proxy_stops() {
+    FakeCaller ending = open();
+    ending.run(StatementKind.BEGIN, "BEGIN");
+    ending.run(StatementKind.WRITE, "WRITE item data");
+    FakeCaller goingOn = open();
+    goingOn.run(StatementKind.BEGIN, "BEGIN");
+    goingOn.run(StatementKind.WRITE, "WRITE item data");
+
+    fixture.gateway.stopAccepting();
+    ending.run(StatementKind.COMMIT, "COMMIT");
+    goingOn.run(StatementKind.WRITE, "WRITE item more");
+
+    assertThat(ending.last()).isInstanceOf(Answer.Success.class);
+    assertThat(goingOn.failure()).isEqualTo(FailureCode.ABORTED);
+    assertThat(goingOn.status).isEqualTo(SessionStatus.FAILED_TRANSACTION);
+  }
+
+  @Test
+  void should_refuse_sessions_that_open_when_the_proxy_stops() {
+    fixture.gateway.stopAccepting();
+
+    assertThat(open().refusals).containsExactly(FailureCode.OVERLOADED);
+  }
+
+  // A process that ends without an answer leaves its caller to guess.
+  @Test
+  void should_answer_all_outstanding_statements_before_sessions_end() {
+    FakeCaller committer = open();
+    committer.run(StatementKind.BEGIN, "BEGIN");
+    committer.run(StatementKind.WRITE, "WRITE item data");
+    FakeCaller writer = open();
+    writer.write();
+    writer.answers.clear();
+    writer.send(StatementKind.WRITE, "WRITE item first");
+    writer.send(StatementKind.READ, "READ item");
+    committer.send(StatementKind.COMMIT, "COMMIT");
+
+    fixture.gateway.endSessions();
+
+    assertThat(writer.answers).hasSize(2);
+    assertThat(((Answer.Failure) writer.answers.get(0)).code())
+        .isEqualTo(FailureCode.UNKNOWN_OUTCOME);
+    assertThat(writer.failure()).isEqualTo(FailureCode.OVERLOADED);
+    assertThat(committer.failure()).isEqualTo(FailureCode.UNKNOWN_OUTCOME);
+    assertThat(writer.closed).isTrue();
+    assertThat(committer.closed).isTrue();
+  }
 }
