Answer pipelined calls of a draining proxy

What callers saw: of two calls that arrived in one packet while the proxy drained, the second got no response.

Cause: CallerHandler closed the connection with the first response and dropped the calls that it had read. A call that was read while the listener closed could be cut too, since the drain ended without looking at the calls in flight.

Evidence: WaitingAndDrainTest.should_answer_pipelined_calls_while_draining gets one response without the change and two with it.

Why it works: while draining, a response is written after all calls of the packet are read, and the connection closes only if none of them waits; after the listener is closed, the drain waits for the calls in flight.

--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/CallerHandler.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/caller/CallerHandler.java
@@ -208,8 +208,6 @@
 
   /** Writes a response. Thread-safe. */
   private void respond(ChannelHandlerContext context, CallerResponse result, PendingCall pending) {
-    // A transaction ends with its network connection, so that connection stays open while draining.
-    boolean close = !pending.keepAlive || (draining.getAsBoolean() && !result.inTransaction());
     FullHttpResponse response =
         new DefaultFullHttpResponse(
             HttpVersion.HTTP_1_1, status(result, pending), Unpooled.wrappedBuffer(result.body()));
@@ -220,13 +218,12 @@
     if (response.status().equals(HttpResponseStatus.UNAUTHORIZED)) {
       headers.set(HttpHeaderNames.WWW_AUTHENTICATE, "Basic realm=\"oleanderstep\"");
     }
-    if (close) {
-      headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-    }
-    if (context.executor().inEventLoop()) {
-      write(context, response, close);
+    boolean inTransaction = result.inTransaction();
+    // While draining, calls that arrived in the same packet are read before the connection closes.
+    if (context.executor().inEventLoop() && !draining.getAsBoolean()) {
+      write(context, response, pending.keepAlive, inTransaction);
     } else {
-      context.executor().execute(() -> write(context, response, close));
+      context.executor().execute(() -> write(context, response, pending.keepAlive, inTransaction));
     }
   }
 
@@ -240,8 +237,19 @@
         : HttpResponseStatus.INTERNAL_SERVER_ERROR;
   }
 
-  private void write(ChannelHandlerContext context, FullHttpResponse response, boolean close) {
+  private void write(
+      ChannelHandlerContext context,
+      FullHttpResponse response,
+      boolean keepAlive,
+      boolean inTransaction) {
     busy = false;
+    // A transaction ends with its network connection, and calls that were read still need their
+    // responses, so that the connection stays open for both while draining.
+    boolean drained = draining.getAsBoolean() && !inTransaction && waiting.isEmpty();
+    boolean close = !keepAlive || drained;
+    if (close) {
+      response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    }
     var written = context.writeAndFlush(response);
     if (close) {
       waiting.clear();
--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/traffic/TrafficServer.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/traffic/TrafficServer.java
@@ -174,7 +174,7 @@
           REFUSAL_PERIOD,
           () -> {
             server.stopAccepting();
-            done.complete(null);
+            awaitCalls(done);
           });
       return;
     }
@@ -184,6 +184,15 @@
     schedule(DRAIN_CHECK_INTERVAL, () -> checkDrain(plan, done));
   }
 
+  /** Completes a drain once the calls that were read before the listener closed are answered. */
+  private void awaitCalls(CompletableFuture<Void> done) {
+    if (service.inFlight() == 0) {
+      done.complete(null);
+    } else {
+      schedule(DRAIN_CHECK_INTERVAL, () -> awaitCalls(done));
+    }
+  }
+
   @Override
   public void close() {
     if (!closed.compareAndSet(false, true)) {
--- a/proxy/src/test/java/org/oleanderstep/proxy/internal/traffic/RawCaller.java
+++ b/proxy/src/test/java/org/oleanderstep/proxy/internal/traffic/RawCaller.java
@@ -1,6 +1,8 @@
 package org.oleanderstep.proxy.internal.traffic;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -13,6 +15,8 @@
 /** Sends hand-made HTTP requests to a proxy, without a JDBC driver. */
 final class RawCaller {
 
+  private static final int READ_TIMEOUT_MILLIS = 5_000;
+
   private final HttpClient client =
       HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
   private final TestProxy proxy;
@@ -28,14 +32,44 @@
 
   /** Sends a commit for a connection and returns the HTTP status. */
   int commit(String connectionId) throws IOException, InterruptedException {
+    return send(encodeCommit(connectionId));
+  }
+
+  private static byte[] encodeCommit(String connectionId) {
     Requests.CommitRequest commit =
         Requests.CommitRequest.newBuilder().setConnectionId(connectionId).build();
-    return send(
-        Common.WireMessage.newBuilder()
-            .setName(Requests.CommitRequest.class.getName())
-            .setWrappedMessage(commit.toByteString())
-            .build()
-            .toByteArray());
+    return Common.WireMessage.newBuilder()
+        .setName(Requests.CommitRequest.class.getName())
+        .setWrappedMessage(commit.toByteString())
+        .build()
+        .toByteArray();
+  }
+
+  /**
+   * Sends two commits in one packet and returns the number of responses until the proxy closes the
+   * connection.
+   */
+  int pipelineTwoCommits(String connectionId) throws IOException {
+    byte[] body = encodeCommit(connectionId);
+    String head =
+        "POST /v1/shop/orders HTTP/1.1\r\nHost: proxy\r\nAuthorization: "
+            + authorization
+            + "\r\nContent-Length: "
+            + body.length
+            + "\r\n\r\n";
+    ByteArrayOutputStream packet = new ByteArrayOutputStream();
+    for (int i = 0; i < 2; i++) {
+      packet.write(head.getBytes(StandardCharsets.ISO_8859_1));
+      packet.write(body);
+    }
+    URI address = URI.create("http://" + proxy.address());
+    try (Socket socket = new Socket(address.getHost(), address.getPort())) {
+      socket.setSoTimeout(READ_TIMEOUT_MILLIS);
+      socket.getOutputStream().write(packet.toByteArray());
+      String received =
+          new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+      return received.split("HTTP/1.1 ", -1).length - 1;
+    }
   }
 
   int send(byte[] body) throws IOException, InterruptedException {
--- a/proxy/src/test/java/org/oleanderstep/proxy/internal/traffic/WaitingAndDrainTest.java
+++ b/proxy/src/test/java/org/oleanderstep/proxy/internal/traffic/WaitingAndDrainTest.java
@@ -168,6 +168,23 @@
     assertThat(group.queryNumber("select count from stock")).isEqualTo(2);
   }
 
+  // The connection was closed after the first response, and the second call was dropped.
+  @Test
+  void should_answer_pipelined_calls_while_draining() throws Exception {
+    try (Connection holder = connectToBoth();
+        Statement held = holder.createStatement()) {
+      holder.setAutoCommit(false);
+      held.executeUpdate(INCREMENT);
+      proxy.control().change(s -> copy(s, true, s.groups()));
+      CompletableFuture<Void> drained = proxy.traffic().drain(Duration.ofSeconds(10));
+      RawCaller caller = new RawCaller(proxy, "north-1", TestControlPlane.SECRET);
+
+      assertThat(caller.pipelineTwoCommits("unknown")).isEqualTo(2);
+      holder.commit();
+      drained.get(5, TimeUnit.SECONDS);
+    }
+  }
+
   @Test
   void should_roll_back_transactions_at_the_end_of_the_drain_time() throws Exception {
     try (Connection connection = connectToBoth();
