Send a statement only after the variables of its session are confirmed

Cause: PooledConnection recorded SET, RESET and PREPARE as done when it sent them, ignored the replies, and pipelined the statement behind them.

Ruled out: the session's own record, which is set when the caller is answered; lost connections and timeouts, which end the connection and its record.

Why it works: a change is recorded by its confirmation, and the statement is sent after all of them. A refused change is tried again with the statement, which was not sent. After an unknown outcome the connection is closed. The handler that ignored replies is gone. A read that waited for its variables for over 0.1 s asks for a position anew, so that the staleness bound holds.

--- a/gateway/src/main/java/org/oleanderstep/gateway/session/ResolvedStatement.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/session/ResolvedStatement.java
@@ -2,8 +2,10 @@
 
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.oleanderstep.core.position.LogPosition;
 import org.oleanderstep.gateway.target.PooledConnection;
+import org.oleanderstep.gateway.target.PreparedShape;
 import org.oleanderstep.gateway.target.ReplyHandler;
 import org.oleanderstep.gateway.target.TargetCommand;
 
@@ -26,7 +28,7 @@
   }
 
   /**
-   * Sends the statement; a prepared statement that the connection lacks is prepared first.
+   * Sends the statement over a connection that {@link #synchronize} has prepared.
    *
    * @param requiredPosition position that the member's log must include
    */
@@ -36,10 +38,18 @@
     connection.send(command(connection, requiredPosition), mayWrite, handler);
   }
 
-  /** Applies the session variables and prepares the statement; call before {@link #send}. */
-  void prepare(PooledConnection connection) {
-    connection.applyVariables(variables);
-    template.ifPresent(s -> connection.prepare(effect, s));
+  /**
+   * Gives a connection the session variables and the prepared statement that it lacks; the
+   * statement must not be sent before that is done.
+   *
+   * @param onDone receives the failure, or an empty result if the statement can be sent
+   */
+  void synchronize(PooledConnection connection, Consumer<Optional<Answer.Failure>> onDone) {
+    connection.synchronize(variables, shape(), onDone);
+  }
+
+  private Optional<PreparedShape> shape() {
+    return template.map(text -> new PreparedShape(effect, text));
   }
 
   private TargetCommand command(
@@ -47,7 +57,7 @@
     if (template.isEmpty()) {
       return new TargetCommand.Run(statement.id(), statement.text(), requiredPosition);
     }
-    String name = connection.prepare(effect, template.get());
+    String name = shape().flatMap(connection::preparedName).orElseThrow();
     return new TargetCommand.Execute(statement.id(), name, statement.argument(), requiredPosition);
   }
 }
--- a/gateway/src/main/java/org/oleanderstep/gateway/session/SingleStatementTask.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/session/SingleStatementTask.java
@@ -25,6 +25,9 @@
  */
 final class SingleStatementTask implements StatementTask {
 
+  /** Well below the part of the maximum staleness that is reserved for delivery. */
+  private static final Duration MAX_SYNCHRONIZATION = Duration.ofMillis(100);
+
   private static final String NO_ANSWER = "the member did not answer in time";
 
   private final SessionEnvironment environment;
@@ -42,6 +45,7 @@
   private long grantedAt;
   private int attempts;
   private String lastFailure = "";
+  private boolean sent;
   private boolean done;
 
   /**
@@ -106,9 +110,39 @@
     connection = lease.connection();
     lastLease = Optional.of(lease);
     attempts++;
+    grantedAt = now();
+    statement.synchronize(lease.connection(), failure -> onSynchronized(lease, failure));
+    lease.connection().flush();
+  }
+
+  private void onSynchronized(Lease lease, Optional<Answer.Failure> failure) {
+    if (done) {
+      service.release(lease.connection());
+    } else if (failure.isPresent()) {
+      service.release(lease.connection());
+      retryOrFinish(lease, notSent(failure.get()));
+    } else if (isTooOld(lease)) {
+      service.release(lease.connection());
+      connection = null;
+      enqueue();
+    } else {
+      send(lease);
+    }
+  }
+
+  private static Answer.Failure notSent(Answer.Failure cause) {
+    String text = "the member did not take over the session: " + cause.code() + " " + cause.text();
+    return new Answer.Failure(FailureCode.OVERLOADED, text);
+  }
+
+  /** Returns whether the position that the lease requires may no longer be recent enough. */
+  private boolean isTooOld(Lease lease) {
+    return !lease.mustConfirmPrimary() && now() - grantedAt > MAX_SYNCHRONIZATION.toNanos();
+  }
+
+  private void send(Lease lease) {
+    sent = true;
     ClockReading requestedAt = environment.clock().read();
-    grantedAt = requestedAt.monotonicNanos();
-    statement.prepare(connection);
     if (lease.mustConfirmPrimary() && !statement.writes()) {
       sendWithPrimaryConfirmation(lease.connection(), requestedAt);
     } else {
@@ -117,7 +151,7 @@
           lease.requiredPosition(),
           new StatementReplyHandler(lease, requestedAt, Optional.empty()));
     }
-    connection.flush();
+    lease.connection().flush();
   }
 
   private void sendWithPrimaryConfirmation(PooledConnection target, ClockReading requestedAt) {
@@ -248,6 +282,7 @@
         .with("attempt", attempts)
         .write();
     connection = null;
+    sent = false;
     enqueue();
     request.avoid(
         lease.connection().pool(), StatementRetryPolicy.nextAttemptAt(failure.code(), now));
@@ -301,12 +336,14 @@
 
   @Override
   public void expire() {
-    boolean sent = connection != null;
     service.cancel(request);
     PooledConnection held = connection;
     if (!sent) {
       returnUnusedToken();
       finish(new Answer.Failure(FailureCode.OVERLOADED, lastFailure), Optional.empty());
+      if (held != null) {
+        held.close(NO_ANSWER);
+      }
       return;
     }
     FailureCode code = statement.writes() ? FailureCode.UNKNOWN_OUTCOME : FailureCode.TIMEOUT;
--- a/gateway/src/main/java/org/oleanderstep/gateway/session/TransactionStatementTask.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/session/TransactionStatementTask.java
@@ -35,6 +35,7 @@
   private final long deadline;
   private Optional<LeaseRequest> request = Optional.empty();
   private Optional<PooledConnection> beginningConnection = Optional.empty();
+  private Optional<Answer.Failure> preparationFailure = Optional.empty();
   private Optional<Long> resendAt = Optional.empty();
   private int attempts;
   private boolean sent;
@@ -105,7 +106,9 @@
     PooledConnection connection = lease.connection();
     beginningConnection = Optional.of(connection);
     ClockReading requestedAt = environment.clock().read();
-    statement.prepare(connection);
+    preparationFailure = Optional.empty();
+    // The replies arrive in order: before that to the begin.
+    statement.synchronize(connection, failure -> preparationFailure = failure);
     boolean readWrite = lease.mustConfirmPrimary();
     TargetCommand begin = new TargetCommand.Begin(!readWrite, lease.requiredPosition());
     connection.send(
@@ -140,6 +143,9 @@
     recordPosition(reply, requestedAt);
     if (abandoned || done) {
       transaction.rollBack();
+    } else if (preparationFailure.isPresent()) {
+      transaction.rollBack();
+      retryBegin(lease, FailureCode.OVERLOADED, preparationFailure.get().text());
     } else {
       send();
     }
@@ -166,9 +172,41 @@
 
   private void send() {
     PooledConnection connection = transaction.connection();
+    statement.synchronize(connection, failure -> onSynchronized(connection, failure));
+    connection.flush();
+  }
+
+  private void onSynchronized(PooledConnection connection, Optional<Answer.Failure> failure) {
+    if (abandoned || done) {
+      return;
+    }
+    if (failure.isEmpty()) {
+      sendSynchronized(connection);
+    } else if (isRefusedInTransaction(failure.get(), connection.status()) && hasTimeToResend()) {
+      resendLater();
+    } else {
+      fail(FailureCode.ABORTED, "the member did not take over the session: " + failure.get());
+    }
+  }
+
+  private static boolean isRefusedInTransaction(Answer answer, SessionStatus status) {
+    return answer instanceof Answer.Failure failure
+        && failure.code() == FailureCode.OVERLOADED
+        && status == SessionStatus.IN_TRANSACTION;
+  }
+
+  private boolean hasTimeToResend() {
+    return now() + StatementRetryPolicy.RETRY_DELAY.toNanos() - deadline < 0;
+  }
+
+  private void resendLater() {
+    sent = false;
+    resendAt = Optional.of(now() + StatementRetryPolicy.RETRY_DELAY.toNanos());
+  }
+
+  private void sendSynchronized(PooledConnection connection) {
     ClockReading requestedAt = environment.clock().read();
     sent = true;
-    statement.prepare(connection);
     statement.send(
         connection,
         Optional.empty(),
@@ -199,13 +237,8 @@
     if (done) {
       return;
     }
-    boolean notRun =
-        reply.answer() instanceof Answer.Failure failure
-            && failure.code() == FailureCode.OVERLOADED
-            && reply.status() == SessionStatus.IN_TRANSACTION;
-    if (notRun && now() + StatementRetryPolicy.RETRY_DELAY.toNanos() - deadline < 0) {
-      sent = false;
-      resendAt = Optional.of(now() + StatementRetryPolicy.RETRY_DELAY.toNanos());
+    if (isRefusedInTransaction(reply.answer(), reply.status()) && hasTimeToResend()) {
+      resendLater();
       return;
     }
     finish(reply);
@@ -306,7 +339,7 @@
       // Closing the connection makes the member roll back, unless a commit is in progress.
       transaction.connection().close(NO_ANSWER);
     } else {
-      fail(FailureCode.ABORTED, "no connection became free in time");
+      fail(FailureCode.ABORTED, "the statement could not be sent in time");
     }
   }
 
--- a/gateway/src/main/java/org/oleanderstep/gateway/target/PooledConnection.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/target/PooledConnection.java
@@ -6,9 +6,12 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
 import org.oleanderstep.core.model.OrganisationId;
+import org.oleanderstep.gateway.session.Answer;
+import org.oleanderstep.gateway.session.FailureCode;
 import org.oleanderstep.gateway.session.SessionStatus;
-import org.oleanderstep.gateway.session.StatementEffect;
 
 /**
  * A connection to a member, with the variables and prepared statements of its database session.
@@ -21,7 +24,8 @@
 
   private static final int MAX_PREPARED_STATEMENTS = 200;
 
-  private record PreparedKey(StatementEffect effect, String shape) {}
+  /** A change of the database session, and how it is recorded once the member has confirmed it. */
+  private record StateChange(TargetCommand command, Runnable onConfirmed) {}
 
   private record PendingCommand(long sentAt, boolean mayWrite, ReplyHandler handler) {}
 
@@ -29,7 +33,7 @@
   private final OrganisationId organisation;
   private final TargetLink link;
   private final Map<String, String> variables = new HashMap<>();
-  private final Map<PreparedKey, String> prepared = new HashMap<>();
+  private final Map<PreparedShape, String> prepared = new HashMap<>();
   private final Deque<PendingCommand> pendingCommands = new ArrayDeque<>();
   private SessionStatus status = SessionStatus.IDLE;
   private boolean open = true;
@@ -76,41 +80,71 @@
     lastUsedAt = now;
   }
 
+  /** Returns the transaction status after the last reply. */
+  public SessionStatus status() {
+    return status;
+  }
+
   /** Returns whether no transaction is open and no command is pending. */
   boolean isClean() {
     return open && pendingCommands.isEmpty() && status == SessionStatus.IDLE;
   }
 
   /**
-   * Sets the variables of this connection to those of a session. If the connection has other
-   * variables, it is reset first, which is possible only outside of a transaction.
+   * Gives this connection the variables of a session and a prepared statement, as far as it lacks
+   * them. If it has other variables, it is reset first, which is possible only outside of a
+   * transaction.
+   *
+   * <p>A change counts only once the member has confirmed it; until then, a statement could run
+   * with the variables of another session. If the outcome of a change is unknown, the connection is
+   * closed.
+   *
+   * @param onDone receives the first failure, or an empty result once the connection has
+   *     everything; called at once if nothing is missing
    */
-  public void applyVariables(Map<String, String> sessionVariables) {
-    if (!sessionVariables.keySet().containsAll(variables.keySet())) {
-      variables.clear();
-      prepared.clear();
-      send(new TargetCommand.Reset(), false, ReplyHandler.IGNORE);
+  public void synchronize(
+      Map<String, String> sessionVariables,
+      Optional<PreparedShape> statement,
+      Consumer<Optional<Answer.Failure>> onDone) {
+    List<StateChange> changes = new ArrayList<>();
+    boolean mustReset = !sessionVariables.keySet().containsAll(variables.keySet());
+    if (mustReset) {
+      changes.add(new StateChange(new TargetCommand.Reset(), this::clearState));
+    }
+    sessionVariables.forEach(
+        (name, value) -> {
+          if (mustReset || !value.equals(variables.get(name))) {
+            changes.add(
+                new StateChange(
+                    new TargetCommand.SetVariable(name, value), () -> variables.put(name, value)));
+          }
+        });
+    statement
+        .filter(shape -> mustReset || !prepared.containsKey(shape))
+        .ifPresent(shape -> changes.add(prepareChange(shape)));
+    if (changes.isEmpty()) {
+      onDone.accept(Optional.empty());
+      return;
     }
-    sessionVariables.forEach(this::applyVariable);
+    Synchronization running = new Synchronization(changes.size(), onDone);
+    changes.forEach(change -> send(change.command, false, running.handlerOf(change)));
   }
 
-  private void applyVariable(String name, String value) {
-    if (!value.equals(variables.put(name, value))) {
-      send(new TargetCommand.SetVariable(name, value), false, ReplyHandler.IGNORE);
-    }
+  private void clearState() {
+    variables.clear();
+    prepared.clear();
   }
 
-  /** Prepares a statement unless this connection has it, and returns its name here. */
-  public String prepare(StatementEffect effect, String shape) {
-    PreparedKey key = new PreparedKey(effect, shape);
-    String existingName = prepared.get(key);
-    if (existingName != null) {
-      return existingName;
-    }
+  private StateChange prepareChange(PreparedShape shape) {
     String name = "p" + nextStatementNumber++;
-    prepared.put(key, name);
-    send(new TargetCommand.Prepare(name, effect, shape), false, ReplyHandler.IGNORE);
-    return name;
+    return new StateChange(
+        new TargetCommand.Prepare(name, shape.effect(), shape.template()),
+        () -> prepared.put(shape, name));
+  }
+
+  /** Returns the name of a prepared statement on this connection; empty if it has none. */
+  public Optional<String> preparedName(PreparedShape shape) {
+    return Optional.ofNullable(prepared.get(shape));
   }
 
   /** Clears the record of prepared statements, after the member did not recognise a name. */
@@ -143,6 +177,58 @@
     }
   }
 
+  /** Collects the replies to the changes of one synchronization. */
+  private final class Synchronization {
+    private final Consumer<Optional<Answer.Failure>> onDone;
+    private Optional<Answer.Failure> failure = Optional.empty();
+    private int pendingReplies;
+    private boolean done;
+
+    private Synchronization(int changes, Consumer<Optional<Answer.Failure>> onDone) {
+      pendingReplies = changes;
+      this.onDone = onDone;
+    }
+
+    private ReplyHandler handlerOf(StateChange change) {
+      return new ReplyHandler() {
+        @Override
+        public void replied(TargetReply reply) {
+          pendingReplies--;
+          if (reply.answer() instanceof Answer.Failure refusal) {
+            onFailure(refusal);
+          } else {
+            change.onConfirmed.run();
+          }
+          if (pendingReplies == 0) {
+            finish();
+          }
+        }
+
+        @Override
+        public void lost(String reason) {
+          onFailure(new Answer.Failure(FailureCode.OVERLOADED, reason));
+          finish();
+        }
+      };
+    }
+
+    private void onFailure(Answer.Failure cause) {
+      if (failure.isEmpty()) {
+        failure = Optional.of(cause);
+      }
+      if (!cause.code().notRun()) {
+        close("the member may have applied a change of the session that failed");
+      }
+    }
+
+    private void finish() {
+      if (!done) {
+        done = true;
+        onDone.accept(failure);
+      }
+    }
+  }
+
   private void onReply(TargetReply reply) {
     PendingCommand first = pendingCommands.pollFirst();
     if (first == null) {
--- a/gateway/src/main/java/org/oleanderstep/gateway/target/ReplyHandler.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/target/ReplyHandler.java
@@ -3,16 +3,6 @@
 /** Receives the outcome of one command; called exactly once, on the traffic thread. */
 public interface ReplyHandler {
 
-  /** Ignores the outcome. */
-  ReplyHandler IGNORE =
-      new ReplyHandler() {
-        @Override
-        public void replied(TargetReply reply) {}
-
-        @Override
-        public void lost(String reason) {}
-      };
-
   /** The member replied. */
   void replied(TargetReply reply);
 
--- a/gateway/src/test/java/org/oleanderstep/gateway/FakeMember.java
+++ b/gateway/src/test/java/org/oleanderstep/gateway/FakeMember.java
@@ -47,6 +47,11 @@
   public LogPosition position = new LogPosition(1, 100);
   public Optional<LogPosition> receivedPosition = Optional.empty();
   public int refusedInquiries;
+
+  /** The number of changes of a session that are refused, and with what code. */
+  public int refusedChanges;
+
+  public FailureCode changeRefusal = FailureCode.OVERLOADED;
   public boolean primary;
   public boolean claimsPrimary;
   public boolean draining;
@@ -120,7 +125,8 @@
         listener.lost("connection reset");
         return;
       }
-      if (answer instanceof Answer.Failure && status == SessionStatus.IN_TRANSACTION) {
+      boolean refused = changesSession(command) && changeRefusal.notRun();
+      if (answer instanceof Answer.Failure && !refused && status == SessionStatus.IN_TRANSACTION) {
         status = SessionStatus.FAILED_TRANSACTION;
       }
       boolean inquiry = command instanceof TargetCommand.ReportReceived;
@@ -128,7 +134,17 @@
       onReply.accept(new TargetReply(answer, status, Optional.of(told)));
     }
 
+    private boolean changesSession(TargetCommand command) {
+      return command instanceof TargetCommand.SetVariable
+          || command instanceof TargetCommand.Reset
+          || command instanceof TargetCommand.Prepare;
+    }
+
     private Answer run(TargetCommand command) {
+      if (changesSession(command) && refusedChanges > 0) {
+        refusedChanges--;
+        return failure(changeRefusal);
+      }
       if (command instanceof TargetCommand.SetVariable set) {
         variables.put(set.name(), set.value());
         return Answer.DONE;
