Close a connection to a target whose settings changed only in part

What callers saw: after a target refused to change one of the settings of a connection, the next request on it could run in the commit mode of the failed one, so that its update was acknowledged and never committed.

Cause: TargetConnection.apply records the settings after all of them have changed; if one fails, those before it have changed and are not recorded, so that the connection still counts as being in its default state.

Why it works: a connection is marked while its settings change, and one whose mark is left is closed instead of reused.

--- a/proxy/src/main/java/org/oleanderstep/proxy/internal/target/TargetConnection.java
+++ b/proxy/src/main/java/org/oleanderstep/proxy/internal/target/TargetConnection.java
@@ -36,6 +36,7 @@
   private final String defaultCatalog;
   private final Map<String, PreparedStatement> prepareCached = new LinkedHashMap<>(16, 0.75f, true);
   private ConnectionState state = ConnectionState.DEFAULT;
+  private boolean stateUncertain;
   private Statement plainStatement;
   private boolean transactionEnded = true;
   private volatile TargetCall call;
@@ -117,11 +118,21 @@
     return state;
   }
 
-  /** Changes the settings that differ from the given ones. */
+  /**
+   * Changes the settings that differ from the given ones. If that fails, some of them may have
+   * changed, and the connection is not used for another request.
+   */
   public void apply(ConnectionState wanted) throws SQLException {
     if (wanted.equals(state)) {
       return;
     }
+    stateUncertain = true;
+    change(wanted);
+    state = wanted;
+    stateUncertain = false;
+  }
+
+  private void change(ConnectionState wanted) throws SQLException {
     if (wanted.autoCommit() != state.autoCommit()) {
       jdbc.setAutoCommit(wanted.autoCommit());
     }
@@ -144,7 +155,6 @@
     if (jdbc.getAutoCommit() != wanted.autoCommit()) {
       throw new SQLException("the member did not apply the commit mode", "08006");
     }
-    state = wanted;
   }
 
   /**
@@ -210,7 +220,7 @@
    * member.
    */
   boolean isInDefaultState() {
-    return !isResponseLost() && state.equals(ConnectionState.DEFAULT);
+    return !isResponseLost() && !stateUncertain && state.equals(ConnectionState.DEFAULT);
   }
 
   /**
@@ -219,7 +229,7 @@
    * @return false if the state is uncertain; the connection must then be closed
    */
   boolean reset(Duration limit) {
-    if (isResponseLost()) {
+    if (isResponseLost() || stateUncertain) {
       return false;
     }
     try {
