--- a/gateway/src/main/java/org/oleanderstep/gateway/failover/PromotionPlanner.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/failover/PromotionPlanner.java
@@ -346,11 +346,12 @@
     ServiceState state = state(promotion.service());
     switch (result) {
       case ACCEPTED -> state.suppressedUntil = now + SETTLE_PERIOD.toNanos();
-      case REFUSED, UNKNOWN -> {
+      case REFUSED -> {
         excludedUntil.put(promotion.member(), now + EXCLUSION_PERIOD.toNanos());
         state.suppressedUntil = now + RETRY_DELAY.toNanos();
       }
-      case NOT_DONE -> state.suppressedUntil = now + RETRY_DELAY.toNanos();
+      // A request that was not answered may still be carried out, so that the same member is best.
+      case NOT_DONE, UNKNOWN -> state.suppressedUntil = now + RETRY_DELAY.toNanos();
     }
   }
 
