Don't confirm anew that a primary is lost when its entry expires

What callers saw: a primary that a majority could not reach was replaced about 3 s later than necessary, if the first promotion request had no response and the primary's entry expired meanwhile.

Cause: the reason changed from unreachable to missing, which started its confirmation period of 2.3 s.

Why it works: the reason stays as long as the majority goes on not reaching the primary.

--- a/gateway/src/main/java/org/oleanderstep/gateway/failover/PromotionPlanner.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/failover/PromotionPlanner.java
@@ -107,6 +107,10 @@
     private Map<MemberId, InetSocketAddress> replicas = Map.of();
     // By former or present primary, the latest term that it reported while it was the primary.
     private final Map<MemberId, Long> lastTermAsPrimary = new HashMap<>();
+
+    private boolean isUnreachable() {
+      return reason.filter(PromotionReason.UNREACHABLE::equals).isPresent();
+    }
   }
 
   private final Map<String, ServiceState> states = new HashMap<>();
@@ -127,6 +131,11 @@
     List<TargetMember> members = view.membersOf(service);
     recordLeaders(state, members, view);
     Optional<PromotionReason> reason = findReason(state, members, view);
+    boolean isMissing = reason.filter(PromotionReason.MISSING::equals).isPresent();
+    if (isMissing && state.isUnreachable() && areUnreachable(state.leaders, view)) {
+      // The entry of a lost primary has expired, which confirms that it is lost.
+      reason = state.reason;
+    }
     recordReplicas(state, members, reason.isEmpty());
     if (!reason.equals(state.reason)) {
       state.reason = reason;
@@ -297,7 +306,11 @@
   }
 
   private static boolean isUnreachable(TargetMember leader, View view) {
-    return view.votes().getOrDefault(leader.id(), 0) >= requiredVotes(view);
+    return areUnreachable(Set.of(leader.id()), view);
+  }
+
+  private static boolean areUnreachable(Set<MemberId> leaders, View view) {
+    return leaders.stream().allMatch(id -> view.votes().getOrDefault(id, 0) >= requiredVotes(view));
   }
 
   /**
--- a/gateway/src/test/java/org/oleanderstep/gateway/failover/PromotionPlannerTest.java
+++ b/gateway/src/test/java/org/oleanderstep/gateway/failover/PromotionPlannerTest.java
@@ -177,6 +177,20 @@
         .containsExactly(new Promotion("main", THREE, PromotionReason.MISSING));
   }
 
+  // The confirmation of a missing entry started anew while a promotion was due to be repeated.
+  @Test
+  void should_not_delay_the_replacement_of_an_unreachable_primary_when_its_entry_expires() {
+    votes = Map.of(ONE, 3);
+    Promotion promotion = planPromotions().get(0);
+    planner.onResult(promotion, PromotionResult.UNKNOWN, now);
+    members = List.of(member(TWO, false, false), member(THREE, false, false));
+
+    advanceTime(Duration.ofMillis(450));
+    assertThat(planPromotions()).containsExactly(promotion);
+    votes = Map.of();
+    assertThat(planPromotions()).isEmpty();
+  }
+
   @Test
   void should_let_a_new_service_choose_its_first_primary() {
     members = List.of(member(TWO, false, false), member(THREE, false, false));
