--- a/gateway/src/main/java/org/oleanderstep/gateway/failover/FencingTokenSource.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/failover/FencingTokenSource.java
@@ -19,16 +19,16 @@
   CompletableFuture<Long> acquireToken(String service);
 
   /**
-   * Returns the last token that this VM has acquired, if neither it nor another VM is known to have
-   * acquired a higher one, and no request with it is without a response.
+   * Returns the last token that this VM has acquired, if no other VM is known to have acquired a
+   * higher one, and no request for another promotion with it is without a response.
    */
-  Optional<Long> heldToken();
+  Optional<Long> heldToken(Promotion promotion);
 
   /** Records that a request is being sent with an acquired or a held token. */
   void onRequested();
 
   /** Records the result of a request. */
-  void onResult(PromotionResult result);
+  void onResult(Promotion promotion, PromotionResult result);
 
   /** Returns whether a request of this VM may still be carried out. */
   boolean isOpen();
