--- a/gateway/src/main/java/org/oleanderstep/gateway/failover/PromotionPlanner.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/failover/PromotionPlanner.java
@@ -195,6 +195,12 @@
         .map(member -> new Promotion(need.service(), member.id(), need.reason()));
   }
 
+  /** Returns whether the service of a promotion still needs a new primary. */
+  public boolean isNeeded(Promotion promotion, View view) {
+    ServiceState state = state(promotion.service());
+    return findReason(state, view.membersOf(promotion.service()), view).isPresent();
+  }
+
   /**
    * Returns the replicas that may have an acknowledged commit which no answer tells of. A replica
    * whose address another member has taken over has handed its log to that member.
--- a/gateway/src/test/java/org/oleanderstep/gateway/failover/PromotionPlannerTest.java
+++ b/gateway/src/test/java/org/oleanderstep/gateway/failover/PromotionPlannerTest.java
@@ -321,8 +321,11 @@
   void should_not_promote_after_the_primary_has_answered_again() {
     votes = Map.of(ONE, 3);
     PromotionNeed need = planner.findNeeds(view(), now).get(0);
+    Promotion promotion = planner.choose(need, positions, view(), now).get();
+    assertThat(planner.isNeeded(promotion, view())).isTrue();
     votes = Map.of();
 
     assertThat(planner.choose(need, positions, view(), now)).isEmpty();
+    assertThat(planner.isNeeded(promotion, view())).isFalse();
   }
 }
