--- a/gateway/src/main/java/org/oleanderstep/gateway/failover/PromotionPlanner.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/failover/PromotionPlanner.java
@@ -23,7 +23,7 @@
  * <pre>{@code
  * for (PromotionNeed need : planner.findNeeds(view, now)) {
  *   planner.onStarted(need, now);
- *   // ask planner.membersToAsk(need, view) which log position each has received, then:
+ *   // ask planner.membersToAsk(need, view, now) which log position each has received, then:
  *   Optional<Promotion> promotion = planner.choose(need, reported, view, now);
  *   // send it, then: planner.onResult(promotion.get(), result, now);
  * }
