--- a/gateway/src/main/java/org/oleanderstep/gateway/Gateway.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/Gateway.java
@@ -23,6 +23,7 @@
 import org.oleanderstep.core.model.VmId;
 import org.oleanderstep.core.position.LogPosition;
 import org.oleanderstep.gateway.control.GatewayConfiguration;
+import org.oleanderstep.gateway.control.LoadPolicy;
 import org.oleanderstep.gateway.control.MemberDirectory;
 import org.oleanderstep.gateway.control.TargetMember;
 import org.oleanderstep.gateway.log.DecisionLog;
@@ -39,7 +40,7 @@
  * Serves all sessions of one VM.
  *
  * <pre>{@code
- * Gateway gateway = new Gateway(failureDomain, clock, connector, log, metrics, lenders);
+ * Gateway gateway = new Gateway(failureDomain, policy, clock, connector, log, metrics, lenders);
  * gateway.configure(configuration);
  * gateway.updateMembers(members);
  * Session session = gateway.newSession(channel);
@@ -60,6 +61,7 @@
   private static final int DEFAULT_CONNECTION_LIMIT = 8;
 
   private final String failureDomain;
+  private final LoadPolicy policy;
   private final SuspendAwareClock clock;
   private final TargetConnector connector;
   private final DecisionLog log;
@@ -82,19 +84,21 @@
   /** Creates a gateway without routes and members. */
   public Gateway(
       String failureDomain,
+      LoadPolicy policy,
       SuspendAwareClock clock,
       TargetConnector connector,
       DecisionLog log,
       SessionMetrics metrics,
       TokenLenders lenders) {
     this.failureDomain = failureDomain;
+    this.policy = policy;
     this.clock = clock;
     this.connector = connector;
     this.log = log;
     this.metrics = metrics;
     meterRolledAt = clock.monotonicNanos();
     demandMeter = new DemandMeter(meterRolledAt);
-    admission = new AdmissionQueues(rates, borrower, demandMeter, clock, lenders, metrics);
+    admission = new AdmissionQueues(rates, borrower, demandMeter, policy, clock, lenders, metrics);
   }
 
   /** Applies a configuration, unless its version is not newer than the current one. */
@@ -165,7 +169,9 @@
       services
           .computeIfAbsent(
               name,
-              n -> new ServicePool(n, failureDomain, clock, connector, log, metrics.targets()))
+              n ->
+                  new ServicePool(
+                      n, failureDomain, policy, clock, connector, log, metrics.targets()))
           .update(membersOf(name), connectionsPerMember(name));
     }
   }
--- a/gateway/src/main/java/org/oleanderstep/gateway/session/AdmissionQueues.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/session/AdmissionQueues.java
@@ -13,6 +13,7 @@
 import org.oleanderstep.core.freshness.ClockReading;
 import org.oleanderstep.core.freshness.SuspendAwareClock;
 import org.oleanderstep.core.model.OrganisationId;
+import org.oleanderstep.gateway.control.LoadPolicy;
 
 /**
  * Queues of operations that wait for a token of their organisation's rate.
@@ -35,6 +36,10 @@
   private final RateLimiter rates;
   private final TokenBorrower borrower;
   private final DemandMeter demand;
+
+  @SuppressWarnings("unused") // read by the parts that follow
+  private final LoadPolicy policy;
+
   private final SuspendAwareClock clock;
   private final TokenLenders lenders;
   private final SessionMetrics metrics;
@@ -50,12 +55,14 @@
       RateLimiter rates,
       TokenBorrower borrower,
       DemandMeter demand,
+      LoadPolicy policy,
       SuspendAwareClock clock,
       TokenLenders lenders,
       SessionMetrics metrics) {
     this.rates = rates;
     this.borrower = borrower;
     this.demand = demand;
+    this.policy = policy;
     this.clock = clock;
     this.lenders = lenders;
     this.metrics = metrics;
--- a/gateway/src/main/java/org/oleanderstep/gateway/target/ServicePool.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/target/ServicePool.java
@@ -17,6 +17,7 @@
 import org.oleanderstep.core.model.MemberId;
 import org.oleanderstep.core.model.OrganisationId;
 import org.oleanderstep.core.position.LogPosition;
+import org.oleanderstep.gateway.control.LoadPolicy;
 import org.oleanderstep.gateway.control.TargetMember;
 import org.oleanderstep.gateway.log.DecisionLog;
 
@@ -52,6 +53,10 @@
           .thenComparingLong(pool -> pool.member().startMillis());
 
   private final String service;
+
+  @SuppressWarnings("unused") // read by the parts that follow
+  private final LoadPolicy policy;
+
   private final SuspendAwareClock clock;
   private final TargetConnector connector;
   private final DecisionLog log;
@@ -73,11 +78,13 @@
   public ServicePool(
       String service,
       String failureDomain,
+      LoadPolicy policy,
       SuspendAwareClock clock,
       TargetConnector connector,
       DecisionLog log,
       TargetMetrics metrics) {
     this.service = service;
+    this.policy = policy;
     this.clock = clock;
     this.connector = connector;
     this.log = log;
--- a/gateway/src/test/java/org/oleanderstep/gateway/GatewayFixture.java
+++ b/gateway/src/test/java/org/oleanderstep/gateway/GatewayFixture.java
@@ -13,6 +13,7 @@
 import org.oleanderstep.core.position.LogPosition;
 import org.oleanderstep.gateway.control.GatewayConfiguration;
 import org.oleanderstep.gateway.control.GatewayRoute;
+import org.oleanderstep.gateway.control.LoadPolicy;
 import org.oleanderstep.gateway.control.RouteKind;
 import org.oleanderstep.gateway.log.DecisionLog;
 import org.oleanderstep.gateway.session.SessionMetrics;
@@ -46,6 +47,7 @@
   public final Gateway gateway =
       new Gateway(
           "zone",
+          LoadPolicy.NONE,
           clock,
           (member, organisation, listener) ->
               members.get(member.id().name()).connect(organisation, listener),
