Count admitted and refused operations by organisation and second

Nothing showed whether an operation was refused although its organisation was inside its rate over all VMs. RateWindows decides what to report, the line rate_window and counters say it. The queue's rule moves from AdmissionQueues to TokenQueues in core, unchanged, so that it can run without the gateway.

--- a/core/src/main/java/org/oleanderstep/core/admission/TokenBorrower.java
+++ b/core/src/main/java/org/oleanderstep/core/admission/TokenBorrower.java
@@ -68,6 +68,7 @@
   private Map<OrganisationId, RateLimiter.Limit> limits = Map.of();
   private Map<OrganisationId, Map<VmId, Double>> shares = Map.of();
   private long nextId;
+  private int unanswered;
 
   /**
    * Creates a borrower without lenders.
@@ -164,6 +165,13 @@
     return Optional.of(new BorrowedTokens(answered.request, reply.tokens));
   }
 
+  /** Returns how many requests got no reply in time since the last call. */
+  int takeUnanswered() {
+    int count = unanswered;
+    unanswered = 0;
+    return count;
+  }
+
   /** Backs off from VMs that did not answer; returns the organisations with overdue requests. */
   public Set<OrganisationId> tick(ClockReading now) {
     Set<OrganisationId> affected = new HashSet<>();
@@ -180,6 +188,7 @@
       }
       if (age.compareTo(REPLY_TIMEOUT) > 0) {
         pending.remove(each.request.id);
+        unanswered++;
       }
     }
     return affected;
--- a/gateway/src/main/java/org/oleanderstep/gateway/session/TokenLenders.java
+++ b/core/src/main/java/org/oleanderstep/core/admission/TokenLenders.java
@@ -1,13 +1,12 @@
-package org.oleanderstep.gateway.session;
+package org.oleanderstep.core.admission;
 
-import org.oleanderstep.core.admission.TokenBorrower;
 import org.oleanderstep.core.model.OrganisationId;
 import org.oleanderstep.core.model.VmId;
 
 /** Sends token messages to the other VMs. Messages may be lost, delayed or duplicated. */
 public interface TokenLenders {
 
-  /** Sends a token request; the reply is passed to {@link AdmissionQueues#onReply}. */
+  /** Sends a token request; the reply is passed to {@link TokenQueues#onReply}. */
   void ask(TokenBorrower.LoanRequest ask);
 
   /** Confirms to the lender that its tokens have arrived. */
--- a/gateway/src/main/java/org/oleanderstep/gateway/Gateway.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/Gateway.java
@@ -17,6 +17,7 @@
 import org.oleanderstep.core.admission.DemandMeter;
 import org.oleanderstep.core.admission.RateLimiter;
 import org.oleanderstep.core.admission.TokenBorrower;
+import org.oleanderstep.core.admission.TokenLenders;
 import org.oleanderstep.core.freshness.SuspendAwareClock;
 import org.oleanderstep.core.model.MemberId;
 import org.oleanderstep.core.model.OrganisationId;
@@ -32,7 +33,6 @@
 import org.oleanderstep.gateway.session.Session;
 import org.oleanderstep.gateway.session.SessionEnvironment;
 import org.oleanderstep.gateway.session.SessionMetrics;
-import org.oleanderstep.gateway.session.TokenLenders;
 import org.oleanderstep.gateway.target.ServicePool;
 import org.oleanderstep.gateway.target.TargetConnector;
 
@@ -98,7 +98,7 @@
     this.metrics = metrics;
     meterRolledAt = clock.monotonicNanos();
     demandMeter = new DemandMeter(meterRolledAt);
-    admission = new AdmissionQueues(rates, borrower, demandMeter, policy, clock, lenders, metrics);
+    admission = new AdmissionQueues(rates, borrower, demandMeter, clock, lenders, log, metrics);
   }
 
   /** Applies a configuration, unless its version is not newer than the current one. */
--- a/gateway/src/main/java/org/oleanderstep/gateway/session/AdmissionQueues.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/session/AdmissionQueues.java
@@ -1,22 +1,20 @@
 package org.oleanderstep.gateway.session;
 
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.HashSet;
-import java.util.List;
-import java.util.Map;
-import java.util.Optional;
-import java.util.Set;
+import org.oleanderstep.core.admission.AdmissionListener;
 import org.oleanderstep.core.admission.DemandMeter;
 import org.oleanderstep.core.admission.RateLimiter;
+import org.oleanderstep.core.admission.RateWindow;
+import org.oleanderstep.core.admission.RateWindows;
 import org.oleanderstep.core.admission.TokenBorrower;
-import org.oleanderstep.core.freshness.ClockReading;
+import org.oleanderstep.core.admission.TokenLenders;
+import org.oleanderstep.core.admission.TokenQueues;
 import org.oleanderstep.core.freshness.SuspendAwareClock;
 import org.oleanderstep.core.model.OrganisationId;
-import org.oleanderstep.gateway.control.LoadPolicy;
+import org.oleanderstep.gateway.log.DecisionLog;
 
 /**
- * Queues of operations that wait for a token of their organisation's rate.
+ * Queues of operations that wait for a token of their organisation's rate; reports what was
+ * admitted and refused in log lines and metrics.
  *
  * <pre>{@code
  * queues.submit(task);
@@ -24,26 +22,15 @@
  * queues.tick();
  * }</pre>
  *
- * <p>In bursty load, a short wait costs a caller less than a refusal and a retry. Missing tokens
- * are borrowed from other VMs. An operation for which no token can become available in time is
- * refused immediately, so that its caller can try another VM. Operations are ordered by the
- * priority of their route, then by arrival.
- *
- * <p>Not thread-safe; call only from the traffic thread.
+ * <p>The decisions are those of {@link TokenQueues}. Not thread-safe; call only from the traffic
+ * thread.
  */
 public final class AdmissionQueues {
 
-  private final RateLimiter rates;
-  private final TokenBorrower borrower;
-  private final DemandMeter demand;
-
-  @SuppressWarnings("unused") // read by the parts that follow
-  private final LoadPolicy policy;
-
+  private final TokenQueues queues;
   private final SuspendAwareClock clock;
-  private final TokenLenders lenders;
-  private final SessionMetrics metrics;
-  private final Map<OrganisationId, List<AdmissionTask>> waiting = new HashMap<>();
+  private final DecisionLog log;
+  private final RateWindows windows;
 
   /**
    * Creates empty queues.
@@ -55,154 +42,114 @@
       RateLimiter rates,
       TokenBorrower borrower,
       DemandMeter demand,
-      LoadPolicy policy,
       SuspendAwareClock clock,
       TokenLenders lenders,
+      DecisionLog log,
       SessionMetrics metrics) {
-    this.rates = rates;
-    this.borrower = borrower;
-    this.demand = demand;
-    this.policy = policy;
     this.clock = clock;
-    this.lenders = lenders;
-    this.metrics = metrics;
+    this.log = log;
+    windows = new RateWindows(clock.read().wallClockMillis());
+    queues =
+        new TokenQueues(rates, borrower, demand, clock, lenders, new Listener(windows, metrics));
   }
 
-  /** Admits or queues an operation, or refuses it if it would have to wait for too long. */
-  void submit(AdmissionTask task) {
-    OrganisationId organisation = task.organisation();
-    demand.record(organisation);
-    List<AdmissionTask> queue = queue(organisation);
-    queue.add(insertionIndex(task, queue), task);
-    serve(organisation);
-  }
+  /** Counts in the windows and the metrics. */
+  private record Listener(RateWindows windows, SessionMetrics metrics)
+      implements AdmissionListener {
 
-  private List<AdmissionTask> queue(OrganisationId organisation) {
-    return waiting.computeIfAbsent(organisation, o -> new ArrayList<>());
-  }
+    @Override
+    public void onRequested(OrganisationId organisation) {
+      windows.recordRequested(organisation);
+    }
+
+    @Override
+    public void onAdmitted(OrganisationId organisation) {
+      windows.recordAdmitted(organisation);
+      metrics.recordAdmitted(organisation);
+    }
+
+    @Override
+    public void onRefused(OrganisationId organisation) {
+      windows.recordRefused(organisation);
+      metrics.recordRefused(organisation);
+    }
+
+    @Override
+    public void onBorrowed(int tokens) {
+      metrics.recordBorrowed(tokens);
+    }
+
+    @Override
+    public void onLent(int tokens) {
+      metrics.recordLent(tokens);
+    }
+
+    @Override
+    public void onTokenRequest() {
+      metrics.recordTokenRequest();
+    }
+
+    @Override
+    public void onNoneLent() {
+      metrics.recordNoneLent();
+    }
 
-  private static int insertionIndex(AdmissionTask task, List<AdmissionTask> queue) {
-    int index = 0;
-    while (index < queue.size() && queue.get(index).priority() <= task.priority()) {
-      index++;
+    @Override
+    public void onUnanswered() {
+      metrics.recordUnanswered();
     }
-    return index;
   }
 
-  /**
-   * Returns the token of an admitted operation that was refused before anything was sent to a
-   * member. While members accept no statements, callers that retry would otherwise use up the rate
-   * without being served. A VM without a share returns the token to one that has a share.
-   */
+  /** Admits or queues an operation, or refuses it if it would have to wait for too long. */
+  void submit(AdmissionTask task) {
+    queues.submit(task);
+  }
+
+  /** Returns the token of an admitted operation that was refused before anything was sent. */
   void returnToken(OrganisationId organisation) {
-    if (rates.hasShare(organisation)) {
-      onReturned(organisation, 1);
-    } else {
-      borrower.selectLender(organisation).ifPresent(vm -> lenders.giveBack(vm, organisation));
-    }
+    queues.returnToken(organisation);
   }
 
   /** Adds tokens that another VM has not used; those above the limit of this VM are dropped. */
   public void onReturned(OrganisationId organisation, int tokens) {
-    rates.addTokens(organisation, tokens, clock.monotonicNanos());
-    serve(organisation);
+    queues.onReturned(organisation, tokens);
   }
 
   /** Removes an operation whose caller has disconnected. */
   void cancel(AdmissionTask task) {
-    queue(task.organisation()).remove(task);
+    queues.cancel(task);
   }
 
   /** Lends tokens to another VM, as far as the operations that wait here do not need them. */
   public TokenBorrower.LoanReply lend(TokenBorrower.LoanRequest ask) {
-    long now = clock.monotonicNanos();
-    int reserved = queue(ask.organisation()).size();
-    int tokens = rates.lend(ask, reserved, now);
-    metrics.recordLent(tokens);
-    return new TokenBorrower.LoanReply(ask.id(), tokens, rates.tokens(ask.organisation(), now));
+    return queues.lend(ask);
   }
 
   /** Ends a loan by this VM after the borrower has confirmed it. */
   public void onLoanConfirmed(OrganisationId organisation, long id) {
-    rates.confirmLoan(organisation, id, clock.monotonicNanos());
+    queues.onLoanConfirmed(organisation, id);
   }
 
   /** Handles the reply of a VM to a token request. */
   public void onReply(TokenBorrower.LoanReply reply) {
-    Optional<TokenBorrower.BorrowedTokens> credit = borrower.onReply(reply, clock.read());
-    if (credit.isEmpty()) {
-      return;
-    }
-    OrganisationId organisation = credit.get().request().organisation();
-    if (credit.get().tokens() > 0) {
-      lenders.confirm(credit.get().request());
-    }
-    List<AdmissionTask> queue = queue(organisation);
-    int remaining = credit.get().tokens();
-    metrics.recordBorrowed(remaining);
-    while (remaining > 0 && !queue.isEmpty()) {
-      remaining--;
-      queue.remove(0).admit();
-    }
-    rates.addTokens(organisation, remaining, clock.monotonicNanos());
-    serve(organisation);
+    queues.onReply(reply);
   }
 
   /** Admits operations for which tokens are available, and refuses those that cannot get one. */
   public void tick() {
-    ClockReading now = clock.read();
-    rates.expireLoans(now.monotonicNanos());
-    Set<OrganisationId> changed = new HashSet<>(borrower.tick(now));
-    changed.addAll(waiting.keySet());
-    changed.forEach(this::serve);
-    waiting.values().removeIf(List::isEmpty);
-  }
-
-  private void serve(OrganisationId organisation) {
-    List<AdmissionTask> queue = queue(organisation);
-    while (!queue.isEmpty() && rates.tryAcquire(organisation, clock.monotonicNanos())) {
-      queue.remove(0).admit();
-    }
-    if (!queue.isEmpty()) {
-      borrow(organisation, queue.size());
-      refuseUnservable(organisation, queue);
-    }
+    queues.tick();
+    windows.endSecond(clock.read().wallClockMillis()).forEach(this::report);
   }
 
-  private void borrow(OrganisationId organisation, int needed) {
-    ClockReading now = clock.read();
-    int missing = needed - borrower.pendingTokens(organisation, now);
-    while (missing > 0) {
-      Optional<TokenBorrower.LoanRequest> ask = borrower.requestLoan(organisation, missing, now);
-      if (ask.isEmpty()) {
-        return;
-      }
-      missing -= ask.get().tokens();
-      lenders.ask(ask.get());
-    }
-  }
-
-  private void refuseUnservable(OrganisationId organisation, List<AdmissionTask> queue) {
-    ClockReading now = clock.read();
-    long nanos = now.monotonicNanos();
-    int borrowedInFlight = borrower.pendingTokens(organisation, now);
-    List<AdmissionTask> unservable = new ArrayList<>();
-    int kept = 0;
-    for (AdmissionTask task : queue) {
-      int tokensNeededHere = kept + 1 - borrowedInFlight;
-      boolean late =
-          tokensNeededHere > 0
-              && rates
-                      .timeUntil(organisation, tokensNeededHere, nanos)
-                      .compareTo(task.remainingWait(nanos))
-                  > 0;
-      if (late || task.remainingWait(nanos).isNegative()) {
-        unservable.add(task);
-      } else {
-        kept++;
-      }
-    }
-    queue.removeAll(unservable);
-    unservable.forEach(AdmissionTask::refuse);
+  // At most one line for each organisation and second. The lines of all VMs are summed, so that
+  // none may be omitted.
+  private void report(RateWindow window) {
+    log.stateChange("rate_window")
+        .with("organisation", window.organisation().name())
+        .with("second", window.second())
+        .with("requested", window.requested())
+        .with("admitted", window.admitted())
+        .with("refused", window.refused())
+        .write();
   }
 }
--- a/gateway/src/main/java/org/oleanderstep/gateway/session/AdmissionTask.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/session/AdmissionTask.java
@@ -1,11 +1,12 @@
 package org.oleanderstep.gateway.session;
 
 import java.time.Duration;
+import org.oleanderstep.core.admission.QueuedOperation;
 import org.oleanderstep.core.model.OrganisationId;
 import org.oleanderstep.gateway.control.GatewayRoute;
 
 /** An operation that needs a token of its organisation's rate before it may run. */
-final class AdmissionTask implements StatementTask {
+final class AdmissionTask implements StatementTask, QueuedOperation {
 
   /** Fraction of the route's target latency that an operation may wait for a token. */
   private static final double MAX_WAIT_FRACTION = 0.4;
@@ -43,20 +44,23 @@
     return environment.clock().monotonicNanos();
   }
 
-  OrganisationId organisation() {
+  @Override
+  public OrganisationId organisation() {
     return organisation;
   }
 
-  int priority() {
+  @Override
+  public int priority() {
     return route.priority();
   }
 
-  /** Returns how much longer the operation may wait; negative if its limit is exceeded. */
-  Duration remainingWait(long now) {
+  @Override
+  public Duration remainingWait(long now) {
     return Duration.ofNanos(waitDeadline - now);
   }
 
-  void admit() {
+  @Override
+  public void admit() {
     Duration waited = Duration.ofNanos(now() - arrivedAt);
     if (waited.compareTo(MIN_LOGGED_WAIT) > 0) {
       environment
@@ -71,7 +75,8 @@
     onAdmitted.run();
   }
 
-  void refuse() {
+  @Override
+  public void refuse() {
     onRefused.run();
   }
 
--- a/gateway/src/main/java/org/oleanderstep/gateway/session/SessionMetrics.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/session/SessionMetrics.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import org.oleanderstep.core.model.OrganisationId;
 import org.oleanderstep.gateway.target.TargetMetrics;
 
 /**
@@ -30,6 +31,11 @@
   private final Counter retries;
   private final Counter borrowed;
   private final Counter lent;
+  private final Counter tokenRequests;
+  private final Counter noneLent;
+  private final Counter unanswered;
+  private final Map<OrganisationId, Counter> admitted = new HashMap<>();
+  private final Map<OrganisationId, Counter> refused = new HashMap<>();
   private final TargetMetrics targets;
 
   /** Registers the meters. */
@@ -42,6 +48,9 @@
     retries = registry.counter("oleanderstep.statement.retries");
     borrowed = registry.counter("oleanderstep.tokens.borrowed");
     lent = registry.counter("oleanderstep.tokens.lent");
+    tokenRequests = registry.counter("oleanderstep.tokens.requests");
+    noneLent = registry.counter("oleanderstep.tokens.requests.none");
+    unanswered = registry.counter("oleanderstep.tokens.requests.unanswered");
     targets = new TargetMetrics(registry);
   }
 
@@ -66,6 +75,31 @@
     lent.increment(tokens);
   }
 
+  void recordAdmitted(OrganisationId organisation) {
+    admitted.computeIfAbsent(organisation, each -> rateCounter(each, "admitted")).increment();
+  }
+
+  void recordRefused(OrganisationId organisation) {
+    refused.computeIfAbsent(organisation, each -> rateCounter(each, "refused")).increment();
+  }
+
+  private Counter rateCounter(OrganisationId organisation, String outcome) {
+    return registry.counter(
+        "oleanderstep.rate.operations", "organisation", organisation.name(), "outcome", outcome);
+  }
+
+  void recordTokenRequest() {
+    tokenRequests.increment();
+  }
+
+  void recordNoneLent() {
+    noneLent.increment();
+  }
+
+  void recordUnanswered() {
+    unanswered.increment();
+  }
+
   void recordRetry() {
     retries.increment();
   }
--- a/gateway/src/test/java/org/oleanderstep/gateway/GatewayFixture.java
+++ b/gateway/src/test/java/org/oleanderstep/gateway/GatewayFixture.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import org.oleanderstep.core.admission.RateLimiter;
 import org.oleanderstep.core.admission.TokenBorrower;
+import org.oleanderstep.core.admission.TokenLenders;
 import org.oleanderstep.core.model.OrganisationId;
 import org.oleanderstep.core.model.VmId;
 import org.oleanderstep.core.position.LogPosition;
@@ -17,7 +18,6 @@
 import org.oleanderstep.gateway.control.RouteKind;
 import org.oleanderstep.gateway.log.DecisionLog;
 import org.oleanderstep.gateway.session.SessionMetrics;
-import org.oleanderstep.gateway.session.TokenLenders;
 
 /** A gateway in front of a service of three members, without threads or network. */
 public final class GatewayFixture {
