Serve organisations inside their rate while another one floods

Tokens of VMs that can't reach the store were not asked for, remaining shares were divided again, a lost datagram kept a lender from being asked for a second, and a VM without a share refused although the next token was due in time.

mvn -o -pl core,gateway,platform -am test -Dtest='FloodSimulationTest, TokenBorrowerTest,RateLimiterTest,RateClaimPlannerTest,RateWindowsTest, AdmissionQueuesTest,StoredRateClaimsTest,RestoredRateClaimsTest,PeerLinkTest, LenderUpdatesTest': green. Without the flag the decisions are as before.

--- a/core/src/main/java/org/oleanderstep/core/admission/RateClaimPlanner.java
+++ b/core/src/main/java/org/oleanderstep/core/admission/RateClaimPlanner.java
@@ -75,10 +75,23 @@
   }
 
   private final VmId self;
+  private final boolean countAllHolders;
 
-  /** Creates a planner of the claims of one VM. */
+  /** Creates a planner of the claims of one VM; holders that do not report are replaced. */
   public RateClaimPlanner(VmId self) {
+    this(self, false);
+  }
+
+  /**
+   * Creates a planner of the claims of one VM.
+   *
+   * @param countAllHolders whether VMs that may still use their claims count as holders although
+   *     they do not report: they still lend if only the store is out of their reach, and a part of
+   *     a rate that is divided further serves fewer operations
+   */
+  public RateClaimPlanner(VmId self, boolean countAllHolders) {
     this.self = self;
+    this.countAllHolders = countAllHolders;
   }
 
   /**
@@ -134,6 +147,9 @@
       return adjustClaim(
           published, organisation, fairSharesByDemand(published, organisation, limit, live));
     }
+    if (countAllHolders) {
+      holders = Math.max(1, holders - holdersOtherThan(live, claims, organisation));
+    }
     Set<VmId> chosen = chooseHolders(claims, organisation, live, holders);
     if (claims.shares().get(organisation).isEmpty()) {
       return claims.withEqualShares(organisation, chosen);
@@ -143,6 +159,13 @@
         claims, organisation, chosen.stream().collect(Collectors.toMap(v -> v, v -> equalShare)));
   }
 
+  private static int holdersOtherThan(
+      Set<VmId> live, RateClaims claims, OrganisationId organisation) {
+    Set<VmId> others = new HashSet<>(claims.shares().get(organisation).keySet());
+    others.removeAll(live);
+    return others.size();
+  }
+
   private static int holders(RateLimiter.Limit limit, int vms) {
     int covered = (int) (limit.burst() / MIN_BURST_PER_VM);
     int spread = limit.burst() >= MIN_HOLDERS ? MIN_HOLDERS : 1;
--- a/core/src/main/java/org/oleanderstep/core/admission/RateLimiter.java
+++ b/core/src/main/java/org/oleanderstep/core/admission/RateLimiter.java
@@ -150,6 +150,22 @@
     }
   }
 
+  /**
+   * Ends a loan of which the borrower gives tokens back. After the loan has ended by itself, they
+   * are lost: the bucket may have been refilled meanwhile.
+   */
+  public void returnLoan(OrganisationId organisation, long id, int unused, long now) {
+    Allocation allocation = allocations.get(organisation);
+    if (allocation == null) {
+      return;
+    }
+    int returned = Math.min(unused, allocation.loans.tokens(id));
+    if (allocation.loans.confirm(id) && allocation.share > 0) {
+      allocation.applyCap(now);
+      allocation.bucket.add(returned, now);
+    }
+  }
+
   /** Ends the loans whose tokens the borrower can no longer accept. Call it regularly. */
   public void expireLoans(long now) {
     for (Allocation allocation : allocations.values()) {
--- a/core/src/main/java/org/oleanderstep/core/admission/TokenBorrower.java
+++ b/core/src/main/java/org/oleanderstep/core/admission/TokenBorrower.java
@@ -1,6 +1,7 @@
 package org.oleanderstep.core.admission;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -32,23 +33,12 @@
   /** Age above which a reply is discarded. */
   public static final Duration REPLY_TIMEOUT = Duration.ofMillis(250);
 
-  /** Age from which an unanswered request is no longer expected to be granted. */
-  private static final Duration OVERDUE_AFTER = Duration.ofMillis(40);
-
-  /** Time for which a VM that did not answer is not asked again. */
-  private static final Duration TIMEOUT_BACKOFF = Duration.ofSeconds(1);
-
   /**
    * A request for tokens.
    *
    * @param id unique over all processes
    */
-  public record LoanRequest(long id, VmId lender, OrganisationId organisation, int tokens) {
-
-    private boolean isFor(OrganisationId other) {
-      return organisation.equals(other);
-    }
-  }
+  public record LoanRequest(long id, VmId lender, OrganisationId organisation, int tokens) {}
 
   /**
    * The reply of a lender.
@@ -58,12 +48,20 @@
    */
   public record LoanReply(long id, int tokens, double remaining) {}
 
-  /** Tokens that arrived in time; the lender expects a confirmation. */
-  public record BorrowedTokens(LoanRequest request, int tokens) {}
+  /**
+   * Tokens that arrived in time; the lender expects a confirmation.
+   *
+   * @param requestedAt the time of the request, from which the age of the tokens counts
+   */
+  public record BorrowedTokens(LoanRequest request, int tokens, ClockReading requestedAt) {}
 
   private record Pending(LoanRequest request, ClockReading requestedAt) {}
 
+  private final BorrowingPolicy policy;
+  private final LenderReachability reachability;
   private final Map<Long, Pending> pending = new HashMap<>();
+  private final Map<OrganisationId, Map<Long, Pending>> pendingByOrganisation = new HashMap<>();
+  private final Map<OrganisationId, GrantRatio> grantRatios = new HashMap<>();
   private final Map<OrganisationId, PeerTokenEstimates> estimates = new HashMap<>();
   private Map<OrganisationId, RateLimiter.Limit> limits = Map.of();
   private Map<OrganisationId, Map<VmId, Double>> shares = Map.of();
@@ -76,7 +74,23 @@
    * @param firstId a random number, so that request ids are unique over all processes
    */
   public TokenBorrower(long firstId) {
+    this(firstId, BorrowingPolicy.STANDARD);
+  }
+
+  /**
+   * Creates a borrower without lenders.
+   *
+   * @param firstId a random number, so that request ids are unique over all processes
+   */
+  public TokenBorrower(long firstId, BorrowingPolicy policy) {
     nextId = firstId;
+    this.policy = policy;
+    reachability = new LenderReachability(policy);
+  }
+
+  /** Returns how persistently this borrower asks for tokens. */
+  BorrowingPolicy policy() {
+    return policy;
   }
 
   /** Updates the limits, and the shares that the possible lenders hold of them. */
@@ -86,6 +100,7 @@
     limits = Map.copyOf(newLimits);
     shares = Map.copyOf(newShares);
     estimates.keySet().retainAll(limits.keySet());
+    grantRatios.keySet().retainAll(limits.keySet());
   }
 
   /** Returns a request to the VM with the most estimated tokens, if any VM has at least one. */
@@ -96,10 +111,10 @@
         estimates.computeIfAbsent(organisation, o -> new PeerTokenEstimates());
     Optional<Candidate> best =
         shares.getOrDefault(organisation, Map.of()).keySet().stream()
-            .filter(vm -> !peers.isInBackoff(vm, TIMEOUT_BACKOFF.toNanos(), nanos))
-            .map(vm -> new Candidate(vm, estimate(peers, organisation, vm, now)))
-            .max(Comparator.comparingDouble(Candidate::tokens))
-            .filter(candidate -> candidate.tokens >= 1);
+            .filter(vm -> mayAsk(peers, organisation, vm, nanos))
+            .map(vm -> candidate(peers, organisation, vm, now))
+            .filter(candidate -> candidate.tokens >= 1)
+            .max(PREFERENCE);
     return best.map(candidate -> createRequest(peers, organisation, candidate, missing, now));
   }
 
@@ -110,7 +125,54 @@
         .map(Map.Entry::getKey);
   }
 
-  private record Candidate(VmId vm, double tokens) {}
+  private record Candidate(VmId vm, int unanswered, double tokens) {}
+
+  private static final Comparator<Candidate> PREFERENCE =
+      Comparator.comparingInt((Candidate each) -> -each.unanswered)
+          .thenComparingDouble(Candidate::tokens);
+
+  private Candidate candidate(
+      PeerTokenEstimates peers, OrganisationId organisation, VmId vm, ClockReading now) {
+    int unanswered = policy.awaitsLenders() ? reachability.unanswered(vm) : 0;
+    return new Candidate(vm, unanswered, estimate(peers, organisation, vm, now));
+  }
+
+  private boolean mayAsk(
+      PeerTokenEstimates peers, OrganisationId organisation, VmId vm, long nanos) {
+    if (!policy.awaitsLenders()) {
+      return !peers.isInBackoff(vm, policy.firstBackoff().toNanos(), nanos);
+    }
+    return !reachability.isAvoided(vm, nanos)
+        && peers.pauseNanos(vm, rateOf(organisation, vm), nanos) <= 0;
+  }
+
+  private double rateOf(OrganisationId organisation, VmId vm) {
+    RateLimiter.Limit limit = limits.get(organisation);
+    double share = shares.get(organisation).getOrDefault(vm, 0.0);
+    return limit == null ? 0 : share * limit.ratePerSecond();
+  }
+
+  /**
+   * Returns the tokens that the lenders will have beyond those that are requested already, so that
+   * operations may wait for them.
+   */
+  LenderForecast forecast(OrganisationId organisation, ClockReading now) {
+    PeerTokenEstimates peers = estimates.get(organisation);
+    if (!policy.awaitsLenders() || peers == null) {
+      return LenderForecast.NONE;
+    }
+    long nanos = now.monotonicNanos();
+    List<LenderForecast.Lender> lenders = new ArrayList<>();
+    for (VmId vm : shares.getOrDefault(organisation, Map.of()).keySet()) {
+      double rate = rateOf(organisation, vm);
+      long pause = peers.pauseNanos(vm, rate, nanos);
+      if (!reachability.isAvoided(vm, nanos)) {
+        lenders.add(new LenderForecast.Lender(estimate(peers, organisation, vm, now), rate, pause));
+      }
+    }
+    double granted = grantRatios.getOrDefault(organisation, new GrantRatio()).value();
+    return new LenderForecast(lenders, granted);
+  }
 
   private double estimate(
       PeerTokenEstimates peers, OrganisationId organisation, VmId vm, ClockReading now) {
@@ -122,8 +184,7 @@
     double held =
         peers.estimate(
             vm, share * limit.ratePerSecond(), share * limit.burst(), now.monotonicNanos());
-    return held
-        - pendingTokens(now, request -> request.isFor(organisation) && request.lender.equals(vm));
+    return held - pendingTokens(organisation, now, request -> request.lender.equals(vm));
   }
 
   private LoanRequest createRequest(
@@ -135,34 +196,55 @@
     int tokens = (int) Math.min(missing, Math.floor(candidate.tokens));
     LoanRequest request = new LoanRequest(nextId++, candidate.vm, organisation, tokens);
     peers.recordRequest(candidate.vm, now.monotonicNanos());
-    pending.put(request.id, new Pending(request, now));
+    Pending sent = new Pending(request, now);
+    pending.put(request.id, sent);
+    pendingByOrganisation.computeIfAbsent(organisation, o -> new HashMap<>()).put(request.id, sent);
     return request;
   }
 
   /** Returns the tokens that were requested for an organisation and are still expected. */
   public int pendingTokens(OrganisationId organisation, ClockReading now) {
-    return pendingTokens(now, request -> request.isFor(organisation));
+    return pendingTokens(organisation, now, request -> true);
+  }
+
+  private Pending removePending(long id) {
+    Pending removed = pending.remove(id);
+    if (removed != null) {
+      OrganisationId organisation = removed.request.organisation;
+      Map<Long, Pending> others = pendingByOrganisation.get(organisation);
+      others.remove(id);
+      if (others.isEmpty()) {
+        pendingByOrganisation.remove(organisation);
+      }
+    }
+    return removed;
   }
 
-  private int pendingTokens(ClockReading now, Predicate<LoanRequest> filter) {
-    return pending.values().stream()
+  private int pendingTokens(
+      OrganisationId organisation, ClockReading now, Predicate<LoanRequest> filter) {
+    return pendingByOrganisation.getOrDefault(organisation, Map.of()).values().stream()
         .filter(each -> filter.test(each.request))
-        .filter(each -> each.requestedAt.ageAt(now).compareTo(OVERDUE_AFTER) < 0)
+        .filter(each -> each.requestedAt.ageAt(now).compareTo(policy.overdueAfter()) < 0)
         .mapToInt(each -> each.request.tokens)
         .sum();
   }
 
   /** Accepts the reply of a lender; empty if it was not requested or came too late. */
   public Optional<BorrowedTokens> onReply(LoanReply reply, ClockReading now) {
-    Pending answered = pending.remove(reply.id);
+    Pending answered = removePending(reply.id);
     if (answered == null || answered.requestedAt.ageAt(now).compareTo(REPLY_TIMEOUT) > 0) {
       return Optional.empty();
     }
     PeerTokenEstimates peers = estimates.get(answered.request.organisation);
     if (peers != null) {
       peers.recordReply(answered.request.lender, reply.remaining, now.monotonicNanos());
+      peers.recordLent(answered.request.lender, reply.tokens > 0, now.monotonicNanos());
     }
-    return Optional.of(new BorrowedTokens(answered.request, reply.tokens));
+    grantRatios
+        .computeIfAbsent(answered.request.organisation, o -> new GrantRatio())
+        .record(answered.request.tokens, reply.tokens);
+    reachability.onReply(answered.request.lender);
+    return Optional.of(new BorrowedTokens(answered.request, reply.tokens, answered.requestedAt));
   }
 
   /** Returns how many requests got no reply in time since the last call. */
@@ -177,17 +259,19 @@
     Set<OrganisationId> affected = new HashSet<>();
     for (Pending each : List.copyOf(pending.values())) {
       Duration age = each.requestedAt.ageAt(now);
-      if (age.compareTo(OVERDUE_AFTER) >= 0) {
+      if (age.compareTo(policy.overdueAfter()) >= 0) {
         PeerTokenEstimates peers = estimates.get(each.request.organisation);
         if (peers != null
             && peers.isRequestOverdue(
-                each.request.lender, OVERDUE_AFTER.toNanos(), now.monotonicNanos())) {
+                each.request.lender, policy.overdueAfter().toNanos(), now.monotonicNanos())) {
           peers.recordTimeout(each.request.lender, now.monotonicNanos());
         }
+        reachability.onTimeout(
+            each.request.lender, each.requestedAt.monotonicNanos(), now.monotonicNanos());
         affected.add(each.request.organisation);
       }
       if (age.compareTo(REPLY_TIMEOUT) > 0) {
-        pending.remove(each.request.id);
+        removePending(each.request.id);
         unanswered++;
       }
     }
--- a/core/src/main/java/org/oleanderstep/core/admission/TokenLenders.java
+++ b/core/src/main/java/org/oleanderstep/core/admission/TokenLenders.java
@@ -12,6 +12,13 @@
   /** Confirms to the lender that its tokens have arrived. */
   void confirm(TokenBorrower.LoanRequest ask);
 
+  /**
+   * Confirms to the lender that its tokens have arrived, and gives back those that are not used.
+   *
+   * @param unused number of tokens that are given back, above zero
+   */
+  void giveBack(TokenBorrower.LoanRequest ask, int unused);
+
   /** Gives an unused token back to a VM that has a share of the organisation's rate. */
   void giveBack(VmId lender, OrganisationId organisation);
 }
--- a/core/src/main/java/org/oleanderstep/core/admission/TokenLoans.java
+++ b/core/src/main/java/org/oleanderstep/core/admission/TokenLoans.java
@@ -30,6 +30,12 @@
     return lentTokens;
   }
 
+  /** Returns the tokens of a loan; zero if it is unknown. */
+  int tokens(long id) {
+    Loan loan = loans.get(id);
+    return loan == null ? 0 : loan.tokens;
+  }
+
   /** Ends a loan that the borrower has confirmed; returns false if the loan is unknown. */
   boolean confirm(long id) {
     Loan loan = loans.remove(id);
--- a/core/src/main/java/org/oleanderstep/core/admission/TokenQueues.java
+++ b/core/src/main/java/org/oleanderstep/core/admission/TokenQueues.java
@@ -36,6 +36,7 @@
   private final SuspendAwareClock clock;
   private final TokenLenders lenders;
   private final AdmissionListener listener;
+  private final BorrowedStock stock = new BorrowedStock();
   private final Map<OrganisationId, List<QueuedOperation>> waiting = new HashMap<>();
 
   /**
@@ -111,7 +112,10 @@
     int reserved = queue(ask.organisation()).size();
     int tokens = rates.lend(ask, reserved, now);
     listener.onLent(tokens);
-    return new TokenBorrower.LoanReply(ask.id(), tokens, rates.tokens(ask.organisation(), now));
+    double remaining = rates.tokens(ask.organisation(), now);
+    // The next tokens go to the operations that wait here.
+    double free = borrower.policy().awaitsLenders() ? remaining - reserved : remaining;
+    return new TokenBorrower.LoanReply(ask.id(), tokens, free);
   }
 
   /** Ends a loan by this VM after the borrower has confirmed it. */
@@ -126,19 +130,32 @@
       return;
     }
     OrganisationId organisation = credit.get().request().organisation();
-    if (credit.get().tokens() > 0) {
-      lenders.confirm(credit.get().request());
-    } else {
+    listener.onBorrowed(credit.get().tokens());
+    if (credit.get().tokens() == 0) {
       listener.onNoneLent();
+    } else if (borrower.policy().awaitsLenders()) {
+      stock.add(credit.get());
+    } else {
+      useAtOnce(credit.get());
     }
+    serve(organisation);
+  }
+
+  private void useAtOnce(TokenBorrower.BorrowedTokens credit) {
+    OrganisationId organisation = credit.request().organisation();
+    lenders.confirm(credit.request());
     List<QueuedOperation> queue = queue(organisation);
-    int remaining = credit.get().tokens();
-    listener.onBorrowed(remaining);
+    int remaining = credit.tokens();
     while (remaining > 0 && !queue.isEmpty()) {
       remaining--;
       admit(queue.remove(0));
     }
     rates.addTokens(organisation, remaining, clock.monotonicNanos());
+  }
+
+  /** Ends a loan by this VM of which the borrower gives tokens back. */
+  public void onLoanReturned(OrganisationId organisation, long id, int unused) {
+    rates.returnLoan(organisation, id, unused, clock.monotonicNanos());
     serve(organisation);
   }
 
@@ -153,11 +170,12 @@
     }
     changed.forEach(this::serve);
     waiting.values().removeIf(List::isEmpty);
+    stock.removeUnused(now).forEach(loan -> lenders.giveBack(loan.request(), loan.unused()));
   }
 
   private void serve(OrganisationId organisation) {
     List<QueuedOperation> queue = queue(organisation);
-    while (!queue.isEmpty() && rates.tryAcquire(organisation, clock.monotonicNanos())) {
+    while (!queue.isEmpty() && tryAcquire(organisation)) {
       admit(queue.remove(0));
     }
     if (!queue.isEmpty()) {
@@ -166,6 +184,12 @@
     }
   }
 
+  private boolean tryAcquire(OrganisationId organisation) {
+    Optional<BorrowedStock.Loan> loan = stock.take(organisation, clock);
+    loan.filter(each -> each.unused() == 0).ifPresent(each -> lenders.confirm(each.request()));
+    return loan.isPresent() || rates.tryAcquire(organisation, clock.monotonicNanos());
+  }
+
   private void admit(QueuedOperation operation) {
     listener.onAdmitted(operation.organisation());
     operation.admit();
@@ -193,11 +217,13 @@
   private void refuseUnservable(OrganisationId organisation, List<QueuedOperation> queue) {
     ClockReading now = clock.read();
     long nanos = now.monotonicNanos();
+    LenderForecast forecast = borrower.forecast(organisation, now);
     int borrowedInFlight = borrower.pendingTokens(organisation, now);
     List<QueuedOperation> unservable = new ArrayList<>();
     int kept = 0;
     for (QueuedOperation task : queue) {
-      int tokensNeededHere = kept + 1 - borrowedInFlight;
+      int expected = forecast.tokensWithin(task.remainingWait(nanos));
+      int tokensNeededHere = kept + 1 - borrowedInFlight - expected;
       boolean late =
           tokensNeededHere > 0
               && rates
--- a/gateway/src/main/java/org/oleanderstep/gateway/Gateway.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/Gateway.java
@@ -14,6 +14,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
+import org.oleanderstep.core.admission.BorrowingPolicy;
 import org.oleanderstep.core.admission.DemandMeter;
 import org.oleanderstep.core.admission.RateLimiter;
 import org.oleanderstep.core.admission.TokenBorrower;
@@ -67,7 +68,7 @@
   private final DecisionLog log;
   private final SessionMetrics metrics;
   private final RateLimiter rates = new RateLimiter();
-  private final TokenBorrower borrower = new TokenBorrower(ThreadLocalRandom.current().nextLong());
+  private final TokenBorrower borrower;
   private final Map<String, ServicePool> services = new HashMap<>();
   private final Set<Session> sessions = new LinkedHashSet<>();
   private GatewayConfiguration configuration = EMPTY_CONFIGURATION;
@@ -98,6 +99,9 @@
     this.metrics = metrics;
     meterRolledAt = clock.monotonicNanos();
     demandMeter = new DemandMeter(meterRolledAt);
+    borrower =
+        new TokenBorrower(
+            ThreadLocalRandom.current().nextLong(), BorrowingPolicy.of(policy.reserveForOthers()));
     admission = new AdmissionQueues(rates, borrower, demandMeter, clock, lenders, log, metrics);
   }
 
--- a/gateway/src/main/java/org/oleanderstep/gateway/session/AdmissionQueues.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/session/AdmissionQueues.java
@@ -130,6 +130,11 @@
     queues.onLoanConfirmed(organisation, id);
   }
 
+  /** Ends a loan by this VM of which the borrower gives tokens back. */
+  public void onLoanReturned(OrganisationId organisation, long id, int unused) {
+    queues.onLoanReturned(organisation, id, unused);
+  }
+
   /** Handles the reply of a VM to a token request. */
   public void onReply(TokenBorrower.LoanReply reply) {
     queues.onReply(reply);
--- a/gateway/src/test/java/org/oleanderstep/gateway/GatewayFixture.java
+++ b/gateway/src/test/java/org/oleanderstep/gateway/GatewayFixture.java
@@ -64,6 +64,11 @@
               confirmedTokenRequests.add(ask);
             }
 
+            @Override
+            public void giveBack(TokenBorrower.LoanRequest ask, int unused) {
+              tokensGivenBackTo.add(ask.lender());
+            }
+
             @Override
             public void giveBack(VmId lender, OrganisationId organisation) {
               tokensGivenBackTo.add(lender);
