--- a/gateway/src/main/java/org/oleanderstep/gateway/Gateway.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/Gateway.java
@@ -14,9 +14,11 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
+import org.oleanderstep.core.admission.BorrowingPolicy;
 import org.oleanderstep.core.admission.DemandMeter;
 import org.oleanderstep.core.admission.RateLimiter;
 import org.oleanderstep.core.admission.TokenBorrower;
+import org.oleanderstep.core.admission.TokenLenders;
 import org.oleanderstep.core.freshness.SuspendAwareClock;
 import org.oleanderstep.core.model.MemberId;
 import org.oleanderstep.core.model.OrganisationId;
@@ -32,7 +34,6 @@
 import org.oleanderstep.gateway.session.Session;
 import org.oleanderstep.gateway.session.SessionEnvironment;
 import org.oleanderstep.gateway.session.SessionMetrics;
-import org.oleanderstep.gateway.session.TokenLenders;
 import org.oleanderstep.gateway.target.ServicePool;
 import org.oleanderstep.gateway.target.TargetConnector;
 
@@ -67,7 +68,7 @@
   private final DecisionLog log;
   private final SessionMetrics metrics;
   private final RateLimiter rates = new RateLimiter();
-  private final TokenBorrower borrower = new TokenBorrower(ThreadLocalRandom.current().nextLong());
+  private final TokenBorrower borrower;
   private final Map<String, ServicePool> services = new HashMap<>();
   private final Set<Session> sessions = new LinkedHashSet<>();
   private GatewayConfiguration configuration = EMPTY_CONFIGURATION;
@@ -98,7 +99,10 @@
     this.metrics = metrics;
     meterRolledAt = clock.monotonicNanos();
     demandMeter = new DemandMeter(meterRolledAt);
-    admission = new AdmissionQueues(rates, borrower, demandMeter, policy, clock, lenders, metrics);
+    borrower =
+        new TokenBorrower(
+            ThreadLocalRandom.current().nextLong(), BorrowingPolicy.of(policy.reserveForOthers()));
+    admission = new AdmissionQueues(rates, borrower, demandMeter, clock, lenders, log, metrics);
   }
 
   /** Applies a configuration, unless its version is not newer than the current one. */
