Evacuate failure domains, and limit what cold members get

An operator had no way to keep requests away from the members of a failure domain, and a member that had just started got as many requests as a warm one.

EvacuatedDomains and MemberAccess in core decide what follows for a member: nothing is sent or opened, connections are closed at once unless a statement awaits its reply, and the member is neither asked nor promoted. An evacuated primary is a reason (EVACUATED) to promote a member elsewhere. A commit that is not sent because of it is answered with ABORTED; it would have been of unknown outcome.

--- a/gateway/src/main/java/org/oleanderstep/gateway/Gateway.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/Gateway.java
@@ -21,7 +21,10 @@
 import org.oleanderstep.core.model.MemberId;
 import org.oleanderstep.core.model.OrganisationId;
 import org.oleanderstep.core.model.VmId;
+import org.oleanderstep.core.placement.EvacuatedDomains;
 import org.oleanderstep.core.position.LogPosition;
+import org.oleanderstep.core.scheduling.ColdShare;
+import org.oleanderstep.gateway.control.ColdBounds;
 import org.oleanderstep.gateway.control.GatewayConfiguration;
 import org.oleanderstep.gateway.control.LoadPolicy;
 import org.oleanderstep.gateway.control.MemberDirectory;
@@ -79,6 +82,10 @@
   private final AdmissionQueues admission;
   private long meterRolledAt;
   private int vmCount = 1;
+  private EvacuatedDomains evacuated = EvacuatedDomains.NONE;
+  private ColdBounds coldBounds = ColdBounds.DEFAULT;
+  private VmId self = new VmId("-");
+  private Set<VmId> knownVms = Set.of();
   private boolean accepting = true;
 
   /** Creates a gateway without routes and members. */
@@ -151,6 +158,68 @@
     updateServices();
   }
 
+  /**
+   * Updates what the parts in the requests of cold members are computed from.
+   *
+   * @param vms all known VMs, also those that have stopped; empty while they are not known yet
+   */
+  public void updateKnownVms(VmId thisVm, Set<VmId> vms) {
+    if (!thisVm.equals(self) || !vms.equals(knownVms)) {
+      self = thisVm;
+      knownVms = Set.copyOf(vms);
+      services.forEach((name, service) -> service.updateColdShare(coldShare(name)));
+    }
+  }
+
+  /** Replaces the bounds of the platform for cold members. */
+  public void limitColdMembers(ColdBounds bounds) {
+    coldBounds = bounds;
+    services.forEach((name, service) -> service.updateColdShare(coldShare(name)));
+  }
+
+  private ColdShare coldShare(String service) {
+    double rate = configuration.coldRates().getOrDefault(service, 0.0);
+    return new ColdShare(coldBounds.requestsPerSecond(rate), self, knownVms);
+  }
+
+  /**
+   * Replaces the failure domains to whose members nothing may be sent. Transactions there are ended
+   * at once; statements that were sent get their reply.
+   */
+  public void updateEvacuations(EvacuatedDomains update) {
+    EvacuatedDomains before = evacuated;
+    evacuated = update;
+    update.begunSince(before).forEach(domain -> logEvacuation("evacuation_begun", domain));
+    before.begunSince(update).forEach(domain -> logEvacuation("evacuation_ended", domain));
+    // No service may send to an evacuated member when the end of a connection of another service
+    // lets a caller go on.
+    services.values().forEach(service -> service.updateEvacuated(update));
+    services.values().forEach(ServicePool::closeEvacuated);
+    recordEvacuatedMembers();
+  }
+
+  private void logEvacuation(String event, String domain) {
+    log.stateChange(event)
+        .with("failure_domain", domain)
+        .with("members", directory.members().stream().filter(m -> isIn(domain, m)).count())
+        .with(
+            "primaries",
+            directory.members().stream().filter(m -> isIn(domain, m) && m.claimsPrimary()).count())
+        .write();
+  }
+
+  private static boolean isIn(String domain, TargetMember member) {
+    return member.failureDomain().equals(domain);
+  }
+
+  private void recordEvacuatedMembers() {
+    long members =
+        directory.members().stream()
+            .filter(m -> !evacuated.accessTo(m.failureDomain()).allowsSending())
+            .count();
+    metrics.targets().recordEvacuatedMembers((int) members);
+  }
+
   private void applyRates() {
     rates.update(configuration.limits(), rateShares, clock.monotonicNanos());
     borrower.update(configuration.limits(), lenderShares);
@@ -166,14 +235,17 @@
     Set<String> names = new HashSet<>(configuration.connectionLimits().keySet());
     names.addAll(services.keySet());
     for (String name : names) {
-      services
-          .computeIfAbsent(
+      ServicePool service =
+          services.computeIfAbsent(
               name,
               n ->
                   new ServicePool(
-                      n, failureDomain, policy, clock, connector, log, metrics.targets()))
-          .update(membersOf(name), connectionsPerMember(name));
+                      n, failureDomain, policy, clock, connector, log, metrics.targets()));
+      service.updateEvacuated(evacuated);
+      service.updateColdShare(coldShare(name));
+      service.update(membersOf(name), connectionsPerMember(name));
     }
+    recordEvacuatedMembers();
   }
 
   private List<TargetMember> membersOf(String service) {
--- a/gateway/src/main/java/org/oleanderstep/gateway/control/TargetMember.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/control/TargetMember.java
@@ -1,6 +1,7 @@
 package org.oleanderstep.gateway.control;
 
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import org.oleanderstep.core.model.MemberId;
 
 /**
@@ -14,6 +15,7 @@
  * @param slots the number of statements that it executes concurrently
  * @param draining whether it is draining before a stop
  * @param claimsPrimary whether it considers itself the primary
+ * @param coldLeft how much longer it is slow after its start; zero if it is not
  */
 public record TargetMember(
     MemberId id,
@@ -23,7 +25,30 @@
     String failureDomain,
     int slots,
     boolean draining,
-    boolean claimsPrimary) {
+    boolean claimsPrimary,
+    Duration coldLeft) {
+
+  /** Creates a member that is not cold. */
+  public TargetMember(
+      MemberId id,
+      long startMillis,
+      String service,
+      InetSocketAddress address,
+      String failureDomain,
+      int slots,
+      boolean draining,
+      boolean claimsPrimary) {
+    this(
+        id,
+        startMillis,
+        service,
+        address,
+        failureDomain,
+        slots,
+        draining,
+        claimsPrimary,
+        Duration.ZERO);
+  }
 
   /** Returns whether both describe the same process at the same address. */
   public boolean isSameProcess(TargetMember other) {
--- a/gateway/src/main/java/org/oleanderstep/gateway/failover/PromotionPlanner.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/failover/PromotionPlanner.java
@@ -14,6 +14,7 @@
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.oleanderstep.core.model.MemberId;
+import org.oleanderstep.core.placement.EvacuatedDomains;
 import org.oleanderstep.core.position.LogPosition;
 import org.oleanderstep.gateway.control.TargetMember;
 
@@ -78,6 +79,7 @@
    *     acknowledged; 0 if absent
    * @param vmCount the number of participating VMs
    * @param rank the number of VMs that act before this one
+   * @param evacuated the failure domains whose members may not be asked, and not be primary
    */
   public record View(
       Collection<TargetMember> members,
@@ -86,7 +88,32 @@
       Map<MemberId, LogPosition> positions,
       Map<String, Integer> syncReplicas,
       int vmCount,
-      int rank) {
+      int rank,
+      EvacuatedDomains evacuated) {
+
+    /** Creates a view in which no failure domain is evacuated. */
+    public View(
+        Collection<TargetMember> members,
+        Map<MemberId, Integer> votes,
+        Set<MemberId> ownSuspects,
+        Map<MemberId, LogPosition> positions,
+        Map<String, Integer> syncReplicas,
+        int vmCount,
+        int rank) {
+      this(
+          members,
+          votes,
+          ownSuspects,
+          positions,
+          syncReplicas,
+          vmCount,
+          rank,
+          EvacuatedDomains.NONE);
+    }
+
+    private boolean mayBePrimary(TargetMember member) {
+      return evacuated.accessTo(member.failureDomain()).allowsPrimary();
+    }
 
     private List<TargetMember> membersOf(String service) {
       return members.stream().filter(member -> member.service().equals(service)).toList();
@@ -156,7 +183,7 @@
     boolean needsAll = view.syncReplicasOf(need.service()) > 0;
     Set<MemberId> excluded = excludedMembers(view, now);
     return view.membersOf(need.service()).stream()
-        .filter(member -> !member.claimsPrimary())
+        .filter(member -> !member.claimsPrimary() && view.mayBePrimary(member))
         .filter(member -> needsAll || (!member.draining() && !excluded.contains(member.id())))
         .map(TargetMember::id)
         .collect(Collectors.toSet());
@@ -195,10 +222,15 @@
         .map(member -> new Promotion(need.service(), member.id(), need.reason()));
   }
 
-  /** Returns whether the service of a promotion still needs a new primary. */
+  /** Returns whether a service still needs the promotion, and the member may still be primary. */
   public boolean isNeeded(Promotion promotion, View view) {
     ServiceState state = state(promotion.service());
-    return findReason(state, view.membersOf(promotion.service()), view).isPresent();
+    List<TargetMember> members = view.membersOf(promotion.service());
+    boolean evacuated =
+        members.stream()
+            .anyMatch(
+                member -> member.id().equals(promotion.member()) && !view.mayBePrimary(member));
+    return !evacuated && findReason(state, members, view).isPresent();
   }
 
   /**
@@ -308,9 +340,17 @@
     if (leaders.stream().allMatch(TargetMember::draining)) {
       return Optional.of(PromotionReason.LEAVING);
     }
+    boolean anyEvacuated = leaders.stream().anyMatch(leader -> !view.mayBePrimary(leader));
+    if (anyEvacuated && leaders.stream().allMatch(leader -> isLost(leader, view))) {
+      return Optional.of(PromotionReason.EVACUATED);
+    }
     return Optional.empty();
   }
 
+  private static boolean isLost(TargetMember leader, View view) {
+    return !view.mayBePrimary(leader) || leader.draining() || isUnreachable(leader, view);
+  }
+
   private static boolean isUnreachable(TargetMember leader, View view) {
     return areUnreachable(Set.of(leader.id()), view);
   }
@@ -337,6 +377,9 @@
                 excluded.add(id);
               }
             });
+    view.members().stream()
+        .filter(member -> !view.mayBePrimary(member))
+        .forEach(member -> excluded.add(member.id()));
     excludedUntil.values().removeIf(until -> now - until >= 0);
     excluded.addAll(excludedUntil.keySet());
     return excluded;
--- a/gateway/src/main/java/org/oleanderstep/gateway/failover/PromotionReason.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/failover/PromotionReason.java
@@ -6,6 +6,8 @@
 public enum PromotionReason {
   /** The primary has announced that it is stopping. */
   LEAVING(Duration.ZERO),
+  /** The failure domain of the primary is evacuated, so that nothing may be sent to it. */
+  EVACUATED(Duration.ZERO),
   /** A majority of the VMs gets no answer from the primary. */
   UNREACHABLE(Duration.ZERO),
   /**
--- a/gateway/src/main/java/org/oleanderstep/gateway/session/TransactionStatementTask.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/session/TransactionStatementTask.java
@@ -71,7 +71,7 @@
   public void start() {
     if (!transaction.hasConnection()) {
       enqueue();
-    } else if (transaction.connection().isOpen()) {
+    } else if (transaction.connection().acceptsCommands()) {
       send();
     } else {
       fail(FailureCode.ABORTED, "the connection of the transaction was lost");
@@ -168,6 +168,10 @@
 
   private void send() {
     PooledConnection connection = transaction.connection();
+    if (!connection.acceptsCommands()) {
+      fail(FailureCode.ABORTED, "the connection of the transaction was lost");
+      return;
+    }
     statement.synchronize(connection, failure -> onSynchronized(connection, failure));
     connection.flush();
   }
--- a/gateway/src/main/java/org/oleanderstep/gateway/target/MemberPool.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/target/MemberPool.java
@@ -9,7 +9,10 @@
 import java.util.Optional;
 import org.oleanderstep.core.MonotonicClock;
 import org.oleanderstep.core.model.OrganisationId;
+import org.oleanderstep.core.placement.MemberAccess;
 import org.oleanderstep.core.position.LogPosition;
+import org.oleanderstep.core.scheduling.ColdLimit;
+import org.oleanderstep.core.scheduling.ColdShare;
 import org.oleanderstep.gateway.control.TargetMember;
 import org.oleanderstep.gateway.log.DecisionLog;
 import org.oleanderstep.gateway.session.Answer;
@@ -27,6 +30,9 @@
  */
 public final class MemberPool {
 
+  /** Why connections to an evacuated member are closed. */
+  static final String EVACUATED = "the failure domain of the member is evacuated";
+
   /** Connection attempts that take longer count as failed. */
   private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(700);
 
@@ -75,6 +81,12 @@
   private final ReplyLatency latency;
   private final ConnectionAllowance allowance;
   private TargetMember member;
+  private final ColdLimit coldLimit;
+  private MemberAccess access = MemberAccess.OPEN;
+  private ColdShare coldShare = ColdShare.UNLIMITED;
+  private boolean loggedCold;
+  private int coldDeferrals;
+  private boolean restartPossible;
   private boolean removed;
   private boolean wrongTarget;
   private LogPosition lastPosition = LogPosition.START;
@@ -104,6 +116,8 @@
     long now = clock.nanoTime();
     latency = new ReplyLatency(now);
     allowance = new ConnectionAllowance(limit, now);
+    coldLimit = new ColdLimit(member.id(), now);
+    coldLimit.onReported(member.coldLeft(), now);
     openNotBefore = now;
     notPrimaryUntil = now;
     behindUntil = now;
@@ -123,6 +137,9 @@
 
   void update(TargetMember update, int newLimit) {
     boolean becamePrimary = update.claimsPrimary() && !member.claimsPrimary();
+    if (!update.coldLeft().equals(member.coldLeft())) {
+      coldLimit.onReported(update.coldLeft(), now());
+    }
     member = update;
     allowance.update(newLimit);
     removed = false;
@@ -140,6 +157,89 @@
     }
   }
 
+  /** Returns what may be done with the member. */
+  MemberAccess access() {
+    return access;
+  }
+
+  /** Changes what may be done with the member; {@link #closeIfEvacuated} must follow. */
+  void updateAccess(MemberAccess update) {
+    if (update == access) {
+      return;
+    }
+    access = update;
+    // Its connections are closed on purpose, and it is not probed; no suspicion must remain.
+    failingSince = Optional.empty();
+    lastReplyAt = now();
+    lastAnsweredSentAt = now();
+    if (access.allowsSending()) {
+      coldLimit.onPossiblyCold(now());
+    }
+  }
+
+  /**
+   * If the member is evacuated, ends connection attempts, and closes each connection unless a
+   * statement awaits its reply.
+   */
+  void closeIfEvacuated() {
+    if (access.allowsSending()) {
+      return;
+    }
+    for (ConnectAttempt attempt : List.copyOf(attempts)) {
+      if (removeAttempt(attempt)) {
+        attempt.cancel.run();
+      }
+    }
+    List.copyOf(connections).forEach(PooledConnection::closeIfEvacuated);
+  }
+
+  void onEvacuated() {
+    metrics.recordEvacuatedConnection();
+  }
+
+  /** Replaces the part of this VM in what the member may get while it is cold. */
+  void updateColdShare(ColdShare update) {
+    coldShare = update;
+  }
+
+  /** Returns whether the member is cold, or may be, and gets a limited number of requests. */
+  boolean isCold() {
+    return coldShare.isLimited() && coldLimit.isCold(now());
+  }
+
+  /** Returns whether the member is cold and this VM has sent it all that it may get just now. */
+  boolean isAtColdLimit(long wallClockMillis) {
+    boolean limited = !coldLimit.allowsRequest(coldShare, now(), wallClockMillis);
+    if (limited) {
+      coldDeferrals++;
+      metrics.recordColdDeferral();
+    }
+    return limited;
+  }
+
+  /** Counts a request that is sent to the member. */
+  void countRequest() {
+    if (coldShare.isLimited()) {
+      coldLimit.onSent(now());
+    }
+  }
+
+  private void logCold(long now) {
+    boolean cold = isCold();
+    if (cold != loggedCold) {
+      loggedCold = cold;
+      log.stateChange(cold ? "member_cold" : "member_warm")
+          .with("member", member.id().name())
+          .with("service", member.service())
+          .with("bound_per_s", coldShare.bound())
+          .with("vms", coldShare.vms().size())
+          .with("left_ms", coldLimit.remaining(now).toMillis())
+          .with("deferrals", coldDeferrals)
+          .write();
+      coldDeferrals = 0;
+    }
+  }
+
   /** Accepts no new work and closes idle connections; leased ones are closed on release. */
   void remove() {
     removed = true;
@@ -152,12 +252,12 @@
 
   /** Returns whether the member accepts new reads. */
   boolean acceptsReads() {
-    return !removed && !wrongTarget && drainingSince.isEmpty();
+    return !removed && !wrongTarget && access.allowsSending() && drainingSince.isEmpty();
   }
 
   /** Returns whether the member serves writes; a draining primary does so until it is replaced. */
   boolean canServeWrites() {
-    if (removed || wrongTarget || !member.claimsPrimary()) {
+    if (removed || wrongTarget || !access.allowsPrimary() || !member.claimsPrimary()) {
       return false;
     }
     long now = now();
@@ -227,14 +327,16 @@
 
   /** Leases an idle connection of an organisation, if there is one. */
   Optional<PooledConnection> tryLease(OrganisationId organisation) {
-    Optional<PooledConnection> idle = findIdle(organisation);
+    Optional<PooledConnection> idle =
+        access.allowsSending() ? findIdle(organisation) : Optional.empty();
     idle.ifPresent(c -> c.lease(now()));
     return idle;
   }
 
   /** Leases any idle connection, if there is one. */
   Optional<PooledConnection> tryLeaseAny() {
-    Optional<PooledConnection> idle = connections.stream().filter(c -> !c.isLeased()).findFirst();
+    Optional<PooledConnection> idle =
+        connections.stream().filter(c -> !c.isLeased() && c.acceptsCommands()).findFirst();
     idle.ifPresent(c -> c.lease(now()));
     return idle;
   }
@@ -252,7 +354,7 @@
   }
 
   private boolean mayConnect() {
-    return !removed && !wrongTarget && now() - openNotBefore >= 0;
+    return !removed && !wrongTarget && access.allowsSending() && now() - openNotBefore >= 0;
   }
 
   /** Starts to open a connection for an organisation, unless the limit or a backoff prevents it. */
@@ -319,6 +421,10 @@
       }
       updatePosition(position);
       recordReply();
+      if (restartPossible) {
+        restartPossible = false;
+        coldLimit.onPossiblyCold(now());
+      }
       connection = new PooledConnection(MemberPool.this, attempt.organisation, link, now());
       connections.add(connection);
       onCapacityAvailable.run();
@@ -327,6 +433,8 @@
     @Override
     public void refused(Optional<FailureCode> code, String reason) {
       if (removeAttempt(attempt)) {
+        // No process accepted the connection; the next one that does may have just started.
+        restartPossible |= code.isEmpty();
         onRefused(code, reason);
       }
     }
@@ -382,7 +490,7 @@
   }
 
   private void recordFailure(String reason) {
-    if (failingSince.isEmpty()) {
+    if (failingSince.isEmpty() && access.allowsSending()) {
       failingSince = Optional.of(now());
       log.stateChange("member_fails")
           .with("member", member.id().name())
@@ -463,13 +571,18 @@
   }
 
   private boolean acceptsWork() {
-    return !removed && !wrongTarget && !allowance.isExceededBy(connections.size());
+    return !removed
+        && !wrongTarget
+        && access.allowsSending()
+        && !allowance.isExceededBy(connections.size());
   }
 
   /** Detects missing replies, times out connection attempts, and probes a failing member. */
   void tick(Optional<OrganisationId> probeFor, long now) {
     timeOutAttempts(now);
     detectMissingReplies(now);
+    closeIfEvacuated();
+    logCold(now);
     if (isFailing() && !removed && attempts.isEmpty()) {
       probeFor.ifPresent(this::tryOpen);
     }
--- a/gateway/src/main/java/org/oleanderstep/gateway/target/PooledConnection.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/target/PooledConnection.java
@@ -29,6 +29,7 @@
   private final ReplyMatcher matcher = new ReplyMatcher();
   private boolean open = true;
   private boolean leased;
+  private int statementsOfLease;
   private long lastUsedAt;
 
   PooledConnection(MemberPool pool, OrganisationId organisation, TargetLink link, long now) {
@@ -52,6 +53,11 @@
     return open;
   }
 
+  /** Returns whether commands may be sent; not so once the member is evacuated. */
+  public boolean acceptsCommands() {
+    return open && pool.access().allowsSending();
+  }
+
   boolean isLeased() {
     return leased;
   }
@@ -63,6 +69,7 @@
   void lease(long now) {
     leased = true;
     lastUsedAt = now;
+    statementsOfLease = 0;
   }
 
   void endLease(long now) {
@@ -175,6 +182,15 @@
       handler.lost("the connection is closed");
       return;
     }
+    if (!acceptsCommands()) {
+      closeIfEvacuated();
+      handler.lost(MemberPool.EVACUATED);
+      return;
+    }
+    if (command.isProven() && ++statementsOfLease > 1) {
+      // The first statement was counted with the lease.
+      pool.countRequest();
+    }
     matcher.add(command, pool.now(), mayWrite, handler);
     link.send(command);
   }
@@ -271,6 +287,19 @@
     return matcher.pending().stream().anyMatch(ReplyMatcher.PendingCommand::mayWrite);
   }
 
+  /** Returns whether a statement of a caller, or what confirms its reply, has no reply yet. */
+  private boolean awaitsStatement() {
+    return matcher.pending().stream().anyMatch(c -> c.command().isProven() || c.mayWrite());
+  }
+
+  /** Closes the connection if its member is evacuated, unless a statement awaits its reply. */
+  void closeIfEvacuated() {
+    if (open && pool.access().mustClose(awaitsStatement())) {
+      pool.onEvacuated();
+      close(MemberPool.EVACUATED);
+    }
+  }
+
   /** Closes the connection and reports every pending command as lost. */
   public void close(String reason) {
     if (!open) {
--- a/gateway/src/main/java/org/oleanderstep/gateway/target/ServicePool.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/target/ServicePool.java
@@ -16,7 +16,9 @@
 import org.oleanderstep.core.freshness.SuspendAwareClock;
 import org.oleanderstep.core.model.MemberId;
 import org.oleanderstep.core.model.OrganisationId;
+import org.oleanderstep.core.placement.EvacuatedDomains;
 import org.oleanderstep.core.position.LogPosition;
+import org.oleanderstep.core.scheduling.ColdShare;
 import org.oleanderstep.gateway.control.LoadPolicy;
 import org.oleanderstep.gateway.control.TargetMember;
 import org.oleanderstep.gateway.log.DecisionLog;
@@ -66,6 +68,8 @@
   private final List<MemberPool> retiredPools = new ArrayList<>();
   private final List<LeaseRequest> waitingRequests = new ArrayList<>();
   private final PositionHistory history = new PositionHistory();
+  private EvacuatedDomains evacuated = EvacuatedDomains.NONE;
+  private ColdShare coldShare = ColdShare.UNLIMITED;
   private Set<MemberId> suspects = Set.of();
   private Optional<MemberId> lastPrimary = Optional.empty();
   private Optional<OrganisationId> lastOrganisation = Optional.empty();
@@ -104,6 +108,7 @@
       MemberPool existing = pools.get(member.id());
       if (existing != null && existing.member().isSameProcess(member)) {
         existing.update(member, connectionsPerMember);
+        applyPlacement(existing);
       } else {
         retire(existing);
         pools.put(member.id(), newPool(member, connectionsPerMember));
@@ -114,12 +119,51 @@
         retire(pools.remove(id));
       }
     }
+    closeEvacuated();
+  }
+
+  /**
+   * Replaces the failure domains to whose members nothing may be sent. {@link #closeEvacuated} must
+   * follow, once all services know of them.
+   */
+  public void updateEvacuated(EvacuatedDomains update) {
+    evacuated = update;
+    applyPlacement();
+  }
+
+  /** Replaces the part of this VM in what cold members may get. */
+  public void updateColdShare(ColdShare update) {
+    coldShare = update;
+    applyPlacement();
+  }
+
+  /** Ends what is under way with evacuated members, except for statements that await a reply. */
+  public void closeEvacuated() {
+    pools.values().forEach(MemberPool::closeIfEvacuated);
+    retiredPools.forEach(MemberPool::closeIfEvacuated);
     grantPending();
   }
 
+  private void applyPlacement() {
+    pools.values().forEach(this::applyPlacement);
+    retiredPools.forEach(this::applyPlacement);
+  }
+
+  private void applyPlacement(MemberPool pool) {
+    pool.updateAccess(evacuated.accessTo(pool.member().failureDomain()));
+    pool.updateColdShare(coldShare);
+  }
+
+  private boolean isEvacuated() {
+    return !pools.isEmpty()
+        && pools.values().stream().noneMatch(pool -> pool.access().allowsSending());
+  }
+
   private MemberPool newPool(TargetMember member, int limit) {
-    return new MemberPool(
-        member, limit, connector, this::nowNanos, log, metrics, this::grantPending);
+    MemberPool pool =
+        new MemberPool(member, limit, connector, this::nowNanos, log, metrics, this::grantPending);
+    applyPlacement(pool);
+    return pool;
   }
 
   private void retire(MemberPool pool) {
@@ -185,9 +229,12 @@
     return positions;
   }
 
-  /** Returns whether there is a primary that is not failing. */
+  /**
+   * Returns whether there is a primary that is not failing. While all members are evacuated there
+   * can be none, which is no sign of a failure.
+   */
   public boolean hasHealthyPrimary() {
-    return primary().filter(pool -> !pool.isFailing()).isPresent();
+    return isEvacuated() || primary().filter(pool -> !pool.isFailing()).isPresent();
   }
 
   /** Returns whether a member has recently confirmed that it is the primary. */
@@ -226,11 +273,12 @@
 
   private void grantWaitingRequests() {
     long now = nowNanos();
+    boolean refuseAll = isEvacuated();
     for (LeaseRequest request : List.copyOf(waitingRequests)) {
       if (!waitingRequests.contains(request)) {
         continue;
       }
-      if (request.isExpired(now)) {
+      if (refuseAll || request.isExpired(now)) {
         waitingRequests.remove(request);
         request.refuse(refusalReason());
       } else if (request.isDue(now)) {
@@ -240,6 +288,9 @@
   }
 
   private String refusalReason() {
+    if (isEvacuated()) {
+      return "all members are in failure domains that are evacuated";
+    }
     return primary().isEmpty() ? "no primary is known" : "no connection became free in time";
   }
 
@@ -271,8 +322,12 @@
       Optional<LogPosition> requiredPosition,
       Duration timeSinceReached) {
     for (MemberPool pool : candidates) {
+      if (pool.isCold() && pool.isAtColdLimit(clock.read().wallClockMillis())) {
+        continue;
+      }
       Optional<PooledConnection> connection = pool.tryLease(request.organisation());
       if (connection.isPresent()) {
+        pool.countRequest();
         waitingRequests.remove(request);
         request.grant(new Lease(connection.get(), requiredPosition, timeSinceReached));
         return;
--- a/gateway/src/test/java/org/oleanderstep/gateway/FakeMember.java
+++ b/gateway/src/test/java/org/oleanderstep/gateway/FakeMember.java
@@ -2,6 +2,7 @@
 
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -65,6 +66,12 @@
   public boolean primary;
   public boolean claimsPrimary;
   public boolean draining;
+  public String failureDomain = "zone";
+  public Duration coldLeft = Duration.ZERO;
+
+  /** The commands that have been sent to this member over all connections. */
+  public int commandsSent;
+
   public Fault fault = Fault.NONE;
   public int connectionLimit = 100;
   public int openConnections;
@@ -85,7 +92,8 @@
 
   public TargetMember describe() {
     InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), 1);
-    return new TargetMember(id(), 1, service, address, "zone", 2, draining, claimsPrimary);
+    return new TargetMember(
+        id(), 1, service, address, failureDomain, 2, draining, claimsPrimary, coldLeft);
   }
 
   Runnable connect(String organisation, TargetConnector.Listener listener) {
@@ -170,6 +178,7 @@
     @Override
     public void send(TargetCommand command) {
       commandsSent++;
+      FakeMember.this.commandsSent++;
       network.add(() -> receive(command));
     }
 
--- a/gateway/src/test/java/org/oleanderstep/gateway/GatewayFixture.java
+++ b/gateway/src/test/java/org/oleanderstep/gateway/GatewayFixture.java
@@ -72,6 +72,7 @@
   private Map<String, OrganisationId> keys = Map.of(SHOP_KEY, SHOP, LAB_KEY, LAB);
   private double rate = RATE;
   private int connections = 16;
+  private Map<String, Double> coldRates = Map.of();
   private long version;
 
   /** Creates a gateway that has been running for some time. */
@@ -103,6 +104,7 @@
             Map.of(SHOP, limit, LAB, limit),
             Map.of(SERVICE, connections),
             Map.of(),
+            coldRates,
             Duration.ofSeconds(3)));
   }
 
@@ -131,6 +133,11 @@
     publishConfiguration();
   }
 
+  public void setColdRate(double requestsPerSecond) {
+    coldRates = Map.of(SERVICE, requestsPerSecond);
+    publishConfiguration();
+  }
+
   public void setRate(double limit) {
     rate = limit;
     publishConfiguration();
--- a/gateway/src/test/java/org/oleanderstep/gateway/failover/PromotionPlannerTest.java
+++ b/gateway/src/test/java/org/oleanderstep/gateway/failover/PromotionPlannerTest.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.oleanderstep.core.model.MemberId;
+import org.oleanderstep.core.placement.EvacuatedDomains;
 import org.oleanderstep.core.position.LogPosition;
 import org.oleanderstep.gateway.control.TargetMember;
 
@@ -31,16 +32,23 @@
       Map.of(TWO, new LogPosition(1, 10), THREE, new LogPosition(1, 20));
   private Map<String, Integer> syncReplicas = Map.of();
   private int rank;
+  private EvacuatedDomains evacuated = EvacuatedDomains.NONE;
   private long now = Duration.ofHours(1).toNanos();
 
   private static TargetMember member(MemberId id, boolean primary, boolean draining) {
+    return member(id, "zone", primary, draining);
+  }
+
+  private static TargetMember member(
+      MemberId id, String domain, boolean primary, boolean draining) {
     int port = 1 + List.of(ONE, TWO, THREE).indexOf(id);
     InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
-    return new TargetMember(id, 1, "main", address, "zone", 2, draining, primary);
+    return new TargetMember(id, 1, "main", address, domain, 2, draining, primary);
   }
 
   private PromotionPlanner.View view() {
-    return new PromotionPlanner.View(members, votes, suspects, positions, syncReplicas, VMS, rank);
+    return new PromotionPlanner.View(
+        members, votes, suspects, positions, syncReplicas, VMS, rank, evacuated);
   }
 
   /** Plans with members that, when asked, report the last known positions. */
@@ -75,6 +83,71 @@
         .containsExactly(new Promotion("main", THREE, PromotionReason.UNREACHABLE));
   }
 
+  private void evacuate(String... domains) {
+    members =
+        List.of(
+            member(ONE, "a", true, false),
+            member(TWO, "b", false, false),
+            member(THREE, "c", false, false));
+    evacuated = new EvacuatedDomains(Set.of(domains));
+  }
+
+  @Test
+  void should_promote_a_member_elsewhere_when_the_primary_is_evacuated() {
+    evacuate("a");
+
+    assertThat(planPromotions())
+        .containsExactly(new Promotion("main", THREE, PromotionReason.EVACUATED));
+  }
+
+  // A member that is evacuated as well could be sent nothing after its promotion.
+  @Test
+  void should_neither_ask_nor_promote_an_evacuated_member() {
+    evacuate("a", "c");
+    PromotionNeed need = new PromotionNeed("main", PromotionReason.EVACUATED);
+
+    assertThat(planner.membersToAsk(need, view(), now)).containsExactly(TWO);
+    assertThat(planner.choose(need, positions, view(), now))
+        .hasValue(new Promotion("main", TWO, PromotionReason.EVACUATED));
+  }
+
+  @Test
+  void should_not_send_a_promotion_that_an_evacuation_has_overtaken() {
+    votes = Map.of(ONE, 3);
+    Promotion promotion = planPromotions().get(0);
+
+    evacuate("c");
+
+    assertThat(planner.isNeeded(promotion, view())).isFalse();
+  }
+
+  // The replica that can't be asked may have the only copy of an acknowledged commit.
+  @Test
+  void should_not_promote_past_an_evacuated_replica_that_may_have_a_commit() {
+    syncReplicas = Map.of("main", 1);
+    planPromotions();
+    evacuate("a", "c");
+
+    assertThat(planPromotions()).isEmpty();
+  }
+
+  @Test
+  void should_promote_nobody_when_all_members_are_evacuated() {
+    evacuate("a", "b", "c");
+
+    assertThat(planPromotions()).isEmpty();
+  }
+
+  // The primary stays where it is when only replicas are evacuated, or the evacuation has ended.
+  @Test
+  void should_keep_a_primary_outside_of_the_evacuated_failure_domains() {
+    evacuate("b", "c");
+    assertThat(planPromotions()).isEmpty();
+
+    evacuate();
+    assertThat(planPromotions()).isEmpty();
+  }
+
   // The entries still show the old primary; the commits of its successor would be lost.
   @Test
   void should_not_replace_a_member_that_another_vm_has_just_promoted() {
