--- a/gateway/src/test/java/org/oleanderstep/gateway/GatewayFixture.java
+++ b/gateway/src/test/java/org/oleanderstep/gateway/GatewayFixture.java
@@ -77,6 +77,7 @@
   private Map<String, OrganisationId> keys = Map.of(SHOP_KEY, SHOP, LAB_KEY, LAB);
   private double rate = RATE;
   private int connections = 16;
+  private Map<String, Double> coldRates = Map.of();
   private long version;
 
   /** Creates a gateway that has been running for some time. */
@@ -108,6 +109,7 @@
             Map.of(SHOP, limit, LAB, limit),
             Map.of(SERVICE, connections),
             Map.of(),
+            coldRates,
             Duration.ofSeconds(3)));
   }
 
@@ -136,6 +138,11 @@
     publishConfiguration();
   }
 
+  public void setColdRate(double requestsPerSecond) {
+    coldRates = Map.of(SERVICE, requestsPerSecond);
+    publishConfiguration();
+  }
+
   public void setRate(double limit) {
     rate = limit;
     publishConfiguration();
