Limit what untrusted callers may take of a process

Messages in part, statements ahead and unread answers had no bound over all connections, and neither had the connections. A connection with more than 64 statements ahead was closed.

--- a/gateway/src/main/java/org/oleanderstep/gateway/session/CallerChannel.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/session/CallerChannel.java
@@ -15,6 +15,11 @@
   /** Closes the connection after all pending writes. */
   void close();
 
+  /** Returns whether the caller reads its answers; the next statement waits for it otherwise. */
+  default boolean acceptsAnswers() {
+    return true;
+  }
+
   /** Returns whether the caller has sent a part of its next statement. */
   boolean isReceiving();
 
--- a/gateway/src/main/java/org/oleanderstep/gateway/session/Session.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/session/Session.java
@@ -187,6 +187,7 @@
     return closing
         && !closed
         && !busy
+        && queued.isEmpty()
         && status == SessionStatus.IDLE
         && !channel.isReceiving()
         && !expectsFirstStatement();
@@ -229,7 +230,7 @@
       reject(FailureCode.MALFORMED, "received a statement before the session was opened");
       return;
     }
-    if (busy) {
+    if (busy || !queued.isEmpty()) {
       queue(statement);
       return;
     }
@@ -526,14 +527,29 @@
     }
     logRefusal(answer);
     channel.answer(answer, status);
-    Statement next = queued.poll();
-    if (next != null) {
-      serve(next);
-    } else {
+    serveNext();
+  }
+
+  private void serveNext() {
+    if (queued.isEmpty()) {
       closeIfIdle();
+    } else if (channel.acceptsAnswers()) {
+      serve(queued.poll());
+    }
+  }
+
+  /** Goes on with the statements that have waited for the caller to read its answers. */
+  public void resume() {
+    if (!busy && !closed && !queued.isEmpty()) {
+      serveNext();
     }
   }
 
+  /** Returns the organisation of the caller; empty until the session is open. */
+  public Optional<OrganisationId> organisation() {
+    return organisation;
+  }
+
   private void logRefusal(Answer answer) {
     if (answer instanceof Answer.Failure failure) {
       environment
