Rank members by what a VM measures of them, limit statements at a primary, and eject outliers

Reads went to members by fixed costs: a replica that was six times slower kept a third of its service's reads, since a VM has less than one statement in flight there. One that failed or never answered 40% of its statements stayed in use, because its probe was good. A primary that was asked for more than it can do kept urgent statements in its own queue.

With measuredRanking, each VM compares latencies by their ratio to a reference of the same kind of statement, with means that fade within seconds, and draws among replicas of similar expected time; the replica of the own failure domain is first while it is nearly as fast as the best. A primary gets at most as many statements from a VM as ConcurrencyLimit allows. With outlierEjection, a replica whose share of failures exceeds that of the others by 0.2 gets no reads for 5 s or more, and then three trial reads. Without the flags nothing is measured and members are ranked as before.

--- a/core/src/main/java/org/oleanderstep/core/scheduling/ConcurrencyLimit.java
+++ b/core/src/main/java/org/oleanderstep/core/scheduling/ConcurrencyLimit.java
@@ -27,7 +27,7 @@
   private static final double BASELINE_RISE_WEIGHT = 0.001;
   private static final long MIN_DECREASE_INTERVAL_NANOS = 10_000_000;
 
-  private final int maxLimit;
+  private int maxLimit;
   private double limit;
   private int inFlight;
   private double recentLatency;
@@ -48,6 +48,18 @@
     limit = maxLimit;
   }
 
+  /**
+   * Replaces the largest limit, for example because a process has fewer connections than the member
+   * could use. The current limit follows if it was at the largest one, or is above the new one.
+   */
+  public void updateMaxLimit(int max) {
+    if (max < 1) {
+      throw new IllegalArgumentException("the largest limit must be positive: " + max);
+    }
+    limit = limit >= maxLimit ? max : Math.min(limit, max);
+    maxLimit = max;
+  }
+
   /** Returns the current limit, at least one. */
   public int limit() {
     return (int) limit;
@@ -67,6 +79,11 @@
     return true;
   }
 
+  /** Starts a statement that can't wait, such as one of a transaction that is open. */
+  public void start() {
+    inFlight++;
+  }
+
   /**
    * Ends a statement.
    *
--- a/core/src/test/java/org/oleanderstep/core/scheduling/ConcurrencyLimitTest.java
+++ b/core/src/test/java/org/oleanderstep/core/scheduling/ConcurrencyLimitTest.java
@@ -67,6 +67,26 @@
     assertThat(limit.limit()).isEqualTo(18);
   }
 
+  // A process whose connections are fewer must notice a slow member before it would use the slots.
+  @Test
+  void should_follow_a_new_largest_limit() {
+    ConcurrencyLimit limit = new ConcurrencyLimit(4);
+    limit.updateMaxLimit(3);
+    assertThat(limit.limit()).isEqualTo(3);
+    limit.updateMaxLimit(6);
+    assertThat(limit.limit()).isEqualTo(6);
+  }
+
+  @Test
+  void should_start_what_cannot_wait_above_the_limit() {
+    ConcurrencyLimit limit = new ConcurrencyLimit(1);
+    limit.updateMaxLimit(1);
+    assertThat(limit.tryStart()).isTrue();
+    limit.start();
+    assertThat(limit.inFlight()).isEqualTo(2);
+    assertThat(limit.tryStart()).isFalse();
+  }
+
   @Test
   void should_never_fall_below_one() {
     ConcurrencyLimit limit = new ConcurrencyLimit(1);
--- a/gateway/src/main/java/org/oleanderstep/gateway/target/LeaseRequest.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/target/LeaseRequest.java
@@ -76,6 +76,10 @@
     return priority;
   }
 
+  WorkClass workClass() {
+    return new WorkClass(priority, requirement.maxStaleness());
+  }
+
   Requirement requirement() {
     return requirement;
   }
--- a/gateway/src/main/java/org/oleanderstep/gateway/target/MemberPool.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/target/MemberPool.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Stream;
 import org.oleanderstep.core.MonotonicClock;
 import org.oleanderstep.core.model.OrganisationId;
 import org.oleanderstep.core.position.LogPosition;
@@ -74,6 +75,8 @@
   private final Map<OrganisationId, Integer> attemptCounts = new HashMap<>();
   private final ReplyLatency latency;
   private final ConnectionAllowance allowance;
+  private final ServiceMeasurements service;
+  private final Optional<MemberMeasurements> measurements;
   private TargetMember member;
   private boolean removed;
   private boolean wrongTarget;
@@ -94,6 +97,7 @@
       MonotonicClock clock,
       DecisionLog log,
       TargetMetrics metrics,
+      ServiceMeasurements service,
       Runnable onCapacityAvailable) {
     this.member = member;
     this.connector = connector;
@@ -104,6 +108,8 @@
     long now = clock.nanoTime();
     latency = new ReplyLatency(now);
     allowance = new ConnectionAllowance(limit, now);
+    this.service = service;
+    measurements = service.ofMember(member, limit, now);
     openNotBefore = now;
     notPrimaryUntil = now;
     behindUntil = now;
@@ -125,6 +131,7 @@
     boolean becamePrimary = update.claimsPrimary() && !member.claimsPrimary();
     member = update;
     allowance.update(newLimit);
+    measurements.ifPresent(measured -> measured.updateConnections(update.slots(), newLimit));
     removed = false;
     if (becamePrimary) {
       notPrimaryUntil = now();
@@ -211,8 +218,14 @@
   }
 
   boolean hasCapacity() {
-    return allowance.allowsAnother(openOrOpening())
-        || connections.stream().anyMatch(c -> !c.isLeased());
+    return !isPrimaryFull()
+        && (allowance.allowsAnother(openOrOpening())
+            || connections.stream().anyMatch(c -> !c.isLeased()));
+  }
+
+  /** Returns whether any connection is being opened. */
+  boolean isOpening() {
+    return !attempts.isEmpty();
   }
 
   boolean isConnecting(OrganisationId organisation) {
@@ -225,17 +238,83 @@
         .max(Comparator.comparingLong(PooledConnection::lastUsedAt));
   }
 
-  /** Leases an idle connection of an organisation, if there is one. */
-  Optional<PooledConnection> tryLease(OrganisationId organisation) {
-    Optional<PooledConnection> idle = findIdle(organisation);
-    idle.ifPresent(c -> c.lease(now()));
+  /** Leases an idle connection of a request's organisation, if there is one. */
+  Optional<PooledConnection> tryLease(LeaseRequest request) {
+    if (isPrimaryFull()) {
+      return Optional.empty();
+    }
+    Optional<PooledConnection> idle = findIdle(request.organisation());
+    idle.ifPresent(c -> c.lease(request.workClass(), now()));
     return idle;
   }
 
+  /** Returns what was measured of the member; empty if nothing is measured. */
+  Optional<MemberMeasurements> measurements() {
+    return measurements;
+  }
+
+  /**
+   * Returns whether the statements in flight at a primary reach its limit. Reads have other members
+   * to go to, but writes would only lengthen its queue.
+   */
+  private boolean isPrimaryFull() {
+    return service.ranksByMeasurements()
+        && member.claimsPrimary()
+        && measurements.filter(measured -> measured.isFull(overdueStatements())).isPresent();
+  }
+
+  /** Counts statements whose reply may be lost; they must not hold up all others. */
+  private int overdueStatements() {
+    long now = now();
+    return (int)
+        unansweredStatements()
+            .filter(statement -> now - statement.sentAt() > MIN_OVERTAKEN_TIMEOUT.toNanos())
+            .count();
+  }
+
+  private Stream<PooledConnection.UnansweredStatement> unansweredStatements() {
+    return connections.stream().flatMap(c -> c.oldestStatement().stream());
+  }
+
+  /**
+   * Returns the longest age of an unanswered statement by the reference latency of its kind; a
+   * member that hangs sends no replies that could be measured.
+   */
+  double longestWait(long now) {
+    return measurements.stream()
+        .flatMapToDouble(
+            measured ->
+                unansweredStatements().mapToDouble(s -> measured.ratio(s.kind(), now - s.sentAt())))
+        .max()
+        .orElse(0);
+  }
+
+  void onSent(TargetCommand command) {
+    if (command.isProven()) {
+      measurements.ifPresent(MemberMeasurements::onSent);
+    }
+  }
+
+  void onMeasured(TargetReply reply, WorkClass.Kind kind, ReplyMatcher.PendingCommand command) {
+    if (command.command().isProven()) {
+      long now = now();
+      measurements.ifPresent(
+          measured -> measured.onReply(kind, reply.answer(), now - command.sentAt(), now));
+    }
+  }
+
+  void onUnanswered(WorkClass.Kind kind, ReplyMatcher.PendingCommand command, boolean byMember) {
+    if (command.command().isProven()) {
+      long now = now();
+      measurements.ifPresent(
+          measured -> measured.onLost(kind, now - command.sentAt(), byMember, now));
+    }
+  }
+
   /** Leases any idle connection, if there is one. */
   Optional<PooledConnection> tryLeaseAny() {
     Optional<PooledConnection> idle = connections.stream().filter(c -> !c.isLeased()).findFirst();
-    idle.ifPresent(c -> c.lease(now()));
+    idle.ifPresent(c -> c.lease(WorkClass.PROXY, now()));
     return idle;
   }
 
@@ -257,7 +336,8 @@
 
   /** Starts to open a connection for an organisation, unless the limit or a backoff prevents it. */
   boolean tryOpen(OrganisationId organisation) {
-    if (!mayConnect()) {
+    // A member that fails is probed by a connection.
+    if (!mayConnect() || (isPrimaryFull() && !isFailing())) {
       return false;
     }
     boolean allowed =
@@ -378,6 +458,9 @@
 
   private void recordReply() {
     lastReplyAt = now();
+    if (isSuspect()) {
+      service.onRecovered(this, lastReplyAt);
+    }
     failingSince = Optional.empty();
   }
 
--- a/gateway/src/main/java/org/oleanderstep/gateway/target/PooledConnection.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/target/PooledConnection.java
@@ -29,6 +29,7 @@
   private final ReplyMatcher matcher = new ReplyMatcher();
   private boolean open = true;
   private boolean leased;
+  private WorkClass work = WorkClass.PROXY;
   private long lastUsedAt;
 
   PooledConnection(MemberPool pool, OrganisationId organisation, TargetLink link, long now) {
@@ -60,8 +61,9 @@
     return lastUsedAt;
   }
 
-  void lease(long now) {
+  void lease(WorkClass workClass, long now) {
     leased = true;
+    work = workClass;
     lastUsedAt = now;
   }
 
@@ -176,6 +178,7 @@
       return;
     }
     matcher.add(command, pool.now(), mayWrite, handler);
+    pool.onSent(command);
     link.send(command);
   }
 
@@ -230,6 +233,7 @@
   private ReplyMatcher.PendingCommand accept(TargetReply reply) {
     ReplyMatcher.PendingCommand command = matcher.accept(reply);
     pool.onReply(reply, command.sentAt());
+    pool.onMeasured(reply, kind(command), command);
     return command;
   }
 
@@ -266,6 +270,25 @@
     return matcher.oldest().filter(command -> now - command.sentAt() > limitNanos).isPresent();
   }
 
+  private WorkClass.Kind kind(ReplyMatcher.PendingCommand command) {
+    return work.kind(command.command(), command.mayWrite());
+  }
+
+  /** Returns the oldest statement without a reply. */
+  Optional<UnansweredStatement> oldestStatement() {
+    return matcher.pending().stream()
+        .filter(command -> command.command().isProven())
+        .findFirst()
+        .map(command -> new UnansweredStatement(kind(command), command.sentAt()));
+  }
+
+  /**
+   * A statement without a reply.
+   *
+   * @param sentAt monotonic time in nanoseconds
+   */
+  record UnansweredStatement(WorkClass.Kind kind, long sentAt) {}
+
   /** Returns whether a command that may write is pending. */
   boolean hasPendingWrite() {
     return matcher.pending().stream().anyMatch(ReplyMatcher.PendingCommand::mayWrite);
@@ -277,16 +300,21 @@
       return;
     }
     link.close();
-    onLost(reason);
+    end(reason, false);
   }
 
   void onLost(String reason) {
+    end(reason, true);
+  }
+
+  private void end(String reason, boolean byMember) {
     if (!open) {
       return;
     }
     open = false;
-    pool.onConnectionEnded(this);
     List<ReplyMatcher.PendingCommand> left = matcher.pending();
+    left.forEach(command -> pool.onUnanswered(kind(command), command, byMember));
+    pool.onConnectionEnded(this);
     matcher.clear();
     left.forEach(command -> command.handler().lost(reason));
   }
--- a/gateway/src/main/java/org/oleanderstep/gateway/target/ServicePool.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/target/ServicePool.java
@@ -10,7 +10,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
+import java.util.random.RandomGenerator;
 import org.oleanderstep.core.freshness.ClockReading;
 import org.oleanderstep.core.freshness.PositionHistory;
 import org.oleanderstep.core.freshness.SuspendAwareClock;
@@ -54,13 +56,11 @@
 
   private final String service;
 
-  @SuppressWarnings("unused") // read by the parts that follow
-  private final LoadPolicy policy;
-
   private final SuspendAwareClock clock;
   private final TargetConnector connector;
   private final DecisionLog log;
   private final TargetMetrics metrics;
+  private final ServiceMeasurements measurements;
   private final MemberRanking ranking;
   private final Map<MemberId, MemberPool> pools = new HashMap<>();
   private final List<MemberPool> retiredPools = new ArrayList<>();
@@ -83,13 +83,27 @@
       TargetConnector connector,
       DecisionLog log,
       TargetMetrics metrics) {
+    this(service, failureDomain, policy, clock, connector, log, metrics, new SplittableRandom());
+  }
+
+  /** Creates a pool that draws members by the given random numbers. */
+  ServicePool(
+      String service,
+      String failureDomain,
+      LoadPolicy policy,
+      SuspendAwareClock clock,
+      TargetConnector connector,
+      DecisionLog log,
+      TargetMetrics metrics,
+      RandomGenerator random) {
     this.service = service;
-    this.policy = policy;
     this.clock = clock;
     this.connector = connector;
     this.log = log;
     this.metrics = metrics;
-    ranking = new MemberRanking(failureDomain);
+    measurements =
+        new ServiceMeasurements(service, policy, log, metrics, random, clock.monotonicNanos());
+    ranking = new MemberRanking(failureDomain, measurements);
   }
 
   private long nowNanos() {
@@ -119,7 +133,7 @@
 
   private MemberPool newPool(TargetMember member, int limit) {
     return new MemberPool(
-        member, limit, connector, this::nowNanos, log, metrics, this::grantPending);
+        member, limit, connector, this::nowNanos, log, metrics, measurements, this::grantPending);
   }
 
   private void retire(MemberPool pool) {
@@ -271,8 +285,9 @@
       Optional<LogPosition> requiredPosition,
       Duration timeSinceReached) {
     for (MemberPool pool : candidates) {
-      Optional<PooledConnection> connection = pool.tryLease(request.organisation());
+      Optional<PooledConnection> connection = pool.tryLease(request);
       if (connection.isPresent()) {
+        measurements.onGranted(pool, nowNanos());
         waitingRequests.remove(request);
         request.grant(new Lease(connection.get(), requiredPosition, timeSinceReached));
         return;
@@ -305,6 +320,7 @@
     retiredPools.removeIf(MemberPool::isTerminated);
     updateSuspects();
     updatePrimary();
+    measurements.tick(pools.values(), primary(), now);
     inquiries.forEach(inquiry -> inquiry.tick(pools, now));
     inquiries.removeIf(inquiry -> inquiry.result().isDone());
     sampleIfDue();
--- /dev/null
+++ b/gateway/src/main/java/org/oleanderstep/gateway/target/WorkClass.java
@@ -0,0 +1,30 @@
+package org.oleanderstep.gateway.target;
+
+import java.time.Duration;
+import java.util.Optional;
+
+/**
+ * What is known of the work of a request's statements before they run: statements of one route
+ * differ less than those of different routes.
+ *
+ * @param priority the priority of the request
+ * @param maxStaleness the maximum age of the state that it may read
+ */
+record WorkClass(int priority, Optional<Duration> maxStaleness) {
+
+  /** The commands of the proxy itself. */
+  static final WorkClass PROXY = new WorkClass(-1, Optional.empty());
+
+  /**
+   * A kind of statement whose latencies are compared.
+   *
+   * @param command the type of the command
+   * @param mayWrite whether it may write
+   */
+  record Kind(WorkClass work, Class<? extends TargetCommand> command, boolean mayWrite) {}
+
+  /** Returns the kind of a statement of this class. */
+  Kind kind(TargetCommand command, boolean mayWrite) {
+    return new Kind(this, command.getClass(), mayWrite);
+  }
+}
