Account for the time of a statement by part

The lines statement and transaction_statement now give the wait for a token, the wait for a connection, synchronisation and begin, and the member's reply; timers give the same over all statements. A statement costs a few additions and four timers without histogram.

--- a/gateway/src/main/java/org/oleanderstep/gateway/session/Session.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/session/Session.java
@@ -348,7 +348,8 @@
 
   private void beginAdmitted(Statement statement, GatewayRoute route, ServicePool service) {
     boolean readOnly = statement.kind() == StatementKind.BEGIN_READ;
-    transaction = Optional.of(new TransactionState(route, service, readOnly, now()));
+    transaction =
+        Optional.of(new TransactionState(route, service, readOnly, now() - startedAt, now()));
     status = SessionStatus.IN_TRANSACTION;
     answer(Answer.DONE);
   }
@@ -447,6 +448,7 @@
             organisation.get(),
             resolved,
             requirement(route, resolved.writes()),
+            now() - startedAt,
             (answer, position) -> onAnswered(resolved, answer, position));
     task = Optional.of(created);
     created.start();
--- a/gateway/src/main/java/org/oleanderstep/gateway/session/SessionMetrics.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/session/SessionMetrics.java
@@ -4,6 +4,7 @@
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.Timer;
 import java.time.Duration;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.Map;
 import org.oleanderstep.gateway.target.TargetMetrics;
@@ -27,6 +28,7 @@
   private final MeterRegistry registry;
   private final Map<String, Counter> outcomes = new HashMap<>();
   private final Timer latency;
+  private final Map<OperationTime.Part, Timer> parts = new EnumMap<>(OperationTime.Part.class);
   private final Counter retries;
   private final Counter borrowed;
   private final Counter lent;
@@ -39,6 +41,9 @@
         Timer.builder("oleanderstep.statement.latency")
             .serviceLevelObjectives(LATENCY_BUCKETS)
             .register(registry);
+    for (OperationTime.Part part : OperationTime.Part.values()) {
+      parts.put(part, registry.timer("oleanderstep.statement.part", "part", part.tag()));
+    }
     retries = registry.counter("oleanderstep.statement.retries");
     borrowed = registry.counter("oleanderstep.tokens.borrowed");
     lent = registry.counter("oleanderstep.tokens.lent");
@@ -58,6 +63,11 @@
     latency.record(Duration.ofNanos(tookNanos));
   }
 
+  /** Records the time of a statement by part; a part that took no time counts as well. */
+  void recordParts(OperationTime time) {
+    parts.forEach((part, timer) -> timer.record(time.in(part)));
+  }
+
   void recordBorrowed(int tokens) {
     borrowed.increment(tokens);
   }
--- a/gateway/src/main/java/org/oleanderstep/gateway/session/SingleStatementTask.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/session/SingleStatementTask.java
@@ -39,6 +39,7 @@
   private final BiConsumer<Answer, Optional<LogPosition>> onAnswer;
   private final long arrivedAt;
   private final long deadline;
+  private final OperationTime time;
   private LeaseRequest request;
   private PooledConnection connection;
   private Optional<Lease> lastLease = Optional.empty();
@@ -51,6 +52,7 @@
   /**
    * Creates the task.
    *
+   * @param tokenWaitNanos how long the operation waited for a token of its organisation's rate
    * @param onAnswer receives the answer, and the member's position if the statement was executed
    */
   SingleStatementTask(
@@ -60,6 +62,7 @@
       OrganisationId organisation,
       ResolvedStatement statement,
       LeaseRequest.Requirement requirement,
+      long tokenWaitNanos,
       BiConsumer<Answer, Optional<LogPosition>> onAnswer) {
     this.environment = environment;
     this.service = service;
@@ -70,6 +73,7 @@
     this.onAnswer = onAnswer;
     arrivedAt = now();
     deadline = arrivedAt + route.timeout().toNanos();
+    time = new OperationTime(tokenWaitNanos, arrivedAt);
   }
 
   private long now() {
@@ -82,6 +86,7 @@
   }
 
   private void enqueue() {
+    time.enter(OperationTime.Part.CONNECTION, now());
     request =
         new LeaseRequest(
             organisation,
@@ -111,6 +116,7 @@
     lastLease = Optional.of(lease);
     attempts++;
     grantedAt = now();
+    time.enter(OperationTime.Part.SYNCHRONIZATION, grantedAt);
     statement.synchronize(lease.connection(), failure -> onSynchronized(lease, failure));
     lease.connection().flush();
   }
@@ -143,6 +149,7 @@
   private void send(Lease lease) {
     sent = true;
     ClockReading requestedAt = environment.clock().read();
+    time.enter(OperationTime.Part.MEMBER, requestedAt.monotonicNanos());
     if (lease.mustConfirmPrimary() && !statement.writes()) {
       sendWithPrimaryConfirmation(lease.connection(), requestedAt);
     } else {
@@ -298,9 +305,9 @@
   }
 
   private void logEnd(Answer answer) {
-    environment
-        .log()
-        .request("statement")
+    time.end(now());
+    environment.metrics().recordParts(time);
+    time.writeTo(environment.log().request("statement"))
         .with("request", statement.statement().id())
         .with("organisation", organisation)
         .with("route", route.name())
--- a/gateway/src/main/java/org/oleanderstep/gateway/session/TransactionState.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/session/TransactionState.java
@@ -19,11 +19,19 @@
   private PooledConnection connection;
   private boolean confirmsPrimary;
   private long lastUsedAt;
+  private long tokenWaitNanos;
 
-  TransactionState(GatewayRoute route, ServicePool service, boolean readOnly, long now) {
+  /**
+   * Creates the state of a transaction that has its token.
+   *
+   * @param tokenWaitNanos how long it waited for the token
+   */
+  TransactionState(
+      GatewayRoute route, ServicePool service, boolean readOnly, long tokenWaitNanos, long now) {
     this.route = route;
     this.service = service;
     this.readOnly = readOnly;
+    this.tokenWaitNanos = tokenWaitNanos;
     lastUsedAt = now;
   }
 
@@ -35,6 +43,13 @@
     return service;
   }
 
+  /** Returns the wait for the token once, for the first statement; zero for later ones. */
+  long takeTokenWait() {
+    long wait = tokenWaitNanos;
+    tokenWaitNanos = 0;
+    return wait;
+  }
+
   /** Returns whether only the primary may serve this transaction. */
   boolean needsPrimary() {
     return !readOnly || !route.kind().readsReplicas();
--- a/gateway/src/main/java/org/oleanderstep/gateway/session/TransactionStatementTask.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/session/TransactionStatementTask.java
@@ -33,6 +33,7 @@
   private final Consumer<Result> onResult;
   private final long arrivedAt;
   private final long deadline;
+  private final OperationTime time;
   private Optional<LeaseRequest> request = Optional.empty();
   private Optional<PooledConnection> beginningConnection = Optional.empty();
   private Optional<Answer.Failure> preparationFailure = Optional.empty();
@@ -57,6 +58,7 @@
     this.onResult = onResult;
     arrivedAt = now();
     deadline = arrivedAt + transaction.route().timeout().toNanos();
+    time = new OperationTime(transaction.takeTokenWait(), arrivedAt);
   }
 
   private long now() {
@@ -80,6 +82,7 @@
 
   private LeaseRequest enqueue() {
     GatewayRoute route = transaction.route();
+    time.enter(OperationTime.Part.CONNECTION, now());
     LeaseRequest created =
         new LeaseRequest(
             organisation,
@@ -103,6 +106,7 @@
 
   private void begin(Lease lease) {
     attempts++;
+    time.enter(OperationTime.Part.SYNCHRONIZATION, now());
     PooledConnection connection = lease.connection();
     beginningConnection = Optional.of(connection);
     preparationFailure = Optional.empty();
@@ -167,6 +171,7 @@
   }
 
   private void send() {
+    time.enter(OperationTime.Part.SYNCHRONIZATION, now());
     PooledConnection connection = transaction.connection();
     statement.synchronize(connection, failure -> onSynchronized(connection, failure));
     connection.flush();
@@ -196,12 +201,14 @@
   }
 
   private void resendLater() {
+    time.enter(OperationTime.Part.SYNCHRONIZATION, now());
     sent = false;
     resendAt = Optional.of(now() + StatementRetryPolicy.RETRY_DELAY.toNanos());
   }
 
   private void sendSynchronized(PooledConnection connection) {
     ClockReading requestedAt = environment.clock().read();
+    time.enter(OperationTime.Part.MEMBER, requestedAt.monotonicNanos());
     sent = true;
     statement.send(
         connection,
@@ -297,9 +304,9 @@
   }
 
   private void logEnd(Answer answer) {
-    environment
-        .log()
-        .request("transaction_statement")
+    time.end(now());
+    environment.metrics().recordParts(time);
+    time.writeTo(environment.log().request("transaction_statement"))
         .with("request", statement.statement().id())
         .with("organisation", organisation)
         .with("route", transaction.route().name())
