Queue requests of a service fairly, refuse on arrival, and limit retries

With loadPolicy.fairQueue, requests that wait for a connection are served by priority and in proportion to the rates of organisations; a tenth of the grants is for the least urgent. The wait is estimated on arrival, and what can't be served in time is refused at once with 'retry in N ms'. A full queue sheds the least urgent. Requests for the primary wait for a promotion only as long as it can end in time. Retries take credit of a fifth of the statements, and their delays grow with jitter. Connections are opened in the order of the queue, one at a time for three seconds after a VM had none, and none for a request that can't be in time. Without the flag everything stays as it is.

The simulation showed a fault of the list: the request that goes first closes the free connection of another organisation, also one that has just been opened for a request that waits. A new connection now serves its organisation first.

--- a/gateway/src/main/java/org/oleanderstep/gateway/Gateway.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/Gateway.java
@@ -119,6 +119,7 @@
         .write();
     configuration = update;
     applyRates();
+    services.values().forEach(service -> service.updateWeights(weights()));
     updateServices();
   }
 
@@ -156,6 +157,12 @@
     borrower.update(configuration.limits(), lenderShares);
   }
 
+  private Map<OrganisationId, Double> weights() {
+    Map<OrganisationId, Double> weights = new HashMap<>();
+    configuration.limits().forEach((name, limit) -> weights.put(name, limit.ratePerSecond()));
+    return weights;
+  }
+
   /** Updates the members of all services. */
   public void updateMembers(Collection<TargetMember> update) {
     directory.update(update, clock.monotonicNanos());
@@ -167,15 +174,18 @@
     names.addAll(services.keySet());
     for (String name : names) {
       services
-          .computeIfAbsent(
-              name,
-              n ->
-                  new ServicePool(
-                      n, failureDomain, policy, clock, connector, log, metrics.targets()))
+          .computeIfAbsent(name, this::newService)
           .update(membersOf(name), connectionsPerMember(name));
     }
   }
 
+  private ServicePool newService(String name) {
+    ServicePool service =
+        new ServicePool(name, failureDomain, policy, clock, connector, log, metrics.targets());
+    service.updateWeights(weights());
+    return service;
+  }
+
   private List<TargetMember> membersOf(String service) {
     return directory.members().stream().filter(m -> m.service().equals(service)).toList();
   }
--- a/gateway/src/main/java/org/oleanderstep/gateway/session/SessionMetrics.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/session/SessionMetrics.java
@@ -30,6 +30,7 @@
   private final Timer latency;
   private final Map<OperationTime.Part, Timer> parts = new EnumMap<>(OperationTime.Part.class);
   private final Counter retries;
+  private final Counter retriesDenied;
   private final Counter borrowed;
   private final Counter lent;
   private final TargetMetrics targets;
@@ -45,6 +46,7 @@
       parts.put(part, registry.timer("oleanderstep.statement.part", "part", part.tag()));
     }
     retries = registry.counter("oleanderstep.statement.retries");
+    retriesDenied = registry.counter("oleanderstep.statement.retries.denied");
     borrowed = registry.counter("oleanderstep.tokens.borrowed");
     lent = registry.counter("oleanderstep.tokens.lent");
     targets = new TargetMetrics(registry);
@@ -76,6 +78,10 @@
     lent.increment(tokens);
   }
 
+  void recordRetryDenied() {
+    retriesDenied.increment();
+  }
+
   void recordRetry() {
     retries.increment();
   }
--- a/gateway/src/main/java/org/oleanderstep/gateway/session/SingleStatementTask.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/session/SingleStatementTask.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.BiConsumer;
 import org.oleanderstep.core.freshness.ClockReading;
 import org.oleanderstep.core.model.OrganisationId;
@@ -9,9 +10,11 @@
 import org.oleanderstep.gateway.control.GatewayRoute;
 import org.oleanderstep.gateway.target.Lease;
 import org.oleanderstep.gateway.target.LeaseRequest;
+import org.oleanderstep.gateway.target.MemberPool;
 import org.oleanderstep.gateway.target.PooledConnection;
 import org.oleanderstep.gateway.target.ReplyHandler;
 import org.oleanderstep.gateway.target.ServicePool;
+import org.oleanderstep.gateway.target.ServiceRetries;
 import org.oleanderstep.gateway.target.TargetCommand;
 import org.oleanderstep.gateway.target.TargetReply;
 
@@ -82,21 +85,26 @@
 
   @Override
   public void start() {
+    service.retries().ifPresent(ServiceRetries::onFirstAttempt);
     enqueue();
   }
 
   private void enqueue() {
+    request = newRequest();
+    service.submit(request);
+  }
+
+  private LeaseRequest newRequest() {
     time.enter(OperationTime.Part.CONNECTION, now());
-    request =
-        new LeaseRequest(
+    return new LeaseRequest(
             organisation,
             route.priority(),
             requirement,
             now(),
             QueueLimit.expiresAt(arrivedAt, route.timeout(), attempts),
             this::onGranted,
-            this::onRefused);
-    service.submit(request);
+            this::onRefused)
+        .withTarget(arrivedAt - time.in(OperationTime.Part.TOKEN).toNanos(), route.targetLatency());
   }
 
   private void onRefused(String reason) {
@@ -275,7 +283,8 @@
   private void retryOrFinish(Lease lease, Answer.Failure failure) {
     long now = now();
     lastFailure = failure.code() + " from " + lease.connection().pool().member().id().name();
-    if (StatementRetryPolicy.isExhausted(attempts, now, deadline)) {
+    OptionalLong nextAttemptAt = nextAttemptAt(failure.code(), now);
+    if (nextAttemptAt.isEmpty()) {
       finish(failure, Optional.empty());
       return;
     }
@@ -290,9 +299,20 @@
         .write();
     connection = null;
     sent = false;
-    enqueue();
-    request.avoid(
-        lease.connection().pool(), StatementRetryPolicy.nextAttemptAt(failure.code(), now));
+    request = newRequest();
+    MemberPool pool = lease.connection().pool();
+    if (service.retries().isPresent()) {
+      request.avoid(pool, nextAttemptAt.getAsLong());
+      service.submit(request);
+    } else {
+      service.submit(request);
+      request.avoid(pool, nextAttemptAt.getAsLong());
+    }
+  }
+
+  private OptionalLong nextAttemptAt(FailureCode code, long now) {
+    return StatementRetryPolicy.nextAttemptAt(
+        service.retries(), code, attempts, now, arrivedAt, route.timeout(), environment.metrics());
   }
 
   private void finish(Answer answer, Optional<LogPosition> position) {
--- a/gateway/src/main/java/org/oleanderstep/gateway/session/TransactionStatementTask.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/session/TransactionStatementTask.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 import org.oleanderstep.core.freshness.ClockReading;
 import org.oleanderstep.core.model.OrganisationId;
@@ -9,8 +10,10 @@
 import org.oleanderstep.gateway.control.GatewayRoute;
 import org.oleanderstep.gateway.target.Lease;
 import org.oleanderstep.gateway.target.LeaseRequest;
+import org.oleanderstep.gateway.target.MemberPool;
 import org.oleanderstep.gateway.target.PooledConnection;
 import org.oleanderstep.gateway.target.ReplyHandler;
+import org.oleanderstep.gateway.target.ServiceRetries;
 import org.oleanderstep.gateway.target.TargetCommand;
 import org.oleanderstep.gateway.target.TargetReply;
 
@@ -72,6 +75,7 @@
   @Override
   public void start() {
     if (!transaction.hasConnection()) {
+      transaction.service().retries().ifPresent(ServiceRetries::onFirstAttempt);
       enqueue();
     } else if (transaction.connection().isOpen()) {
       send();
@@ -80,21 +84,27 @@
     }
   }
 
-  private LeaseRequest enqueue() {
+  private void enqueue() {
+    submit(newRequest());
+  }
+
+  private void submit(LeaseRequest created) {
+    request = Optional.of(created);
+    transaction.service().submit(created);
+  }
+
+  private LeaseRequest newRequest() {
     GatewayRoute route = transaction.route();
     time.enter(OperationTime.Part.CONNECTION, now());
-    LeaseRequest created =
-        new LeaseRequest(
+    return new LeaseRequest(
             organisation,
             route.priority(),
             requirement,
             now(),
             QueueLimit.expiresAt(arrivedAt, route.timeout(), attempts),
             this::begin,
-            this::onRefused);
-    request = Optional.of(created);
-    transaction.service().submit(created);
-    return created;
+            this::onRefused)
+        .withTarget(arrivedAt - time.in(OperationTime.Part.TOKEN).toNanos(), route.targetLatency());
   }
 
   private void onRefused(String reason) {
@@ -156,12 +166,30 @@
       return;
     }
     long now = now();
-    if (StatementRetryPolicy.isExhausted(attempts, now, deadline)) {
+    Optional<ServiceRetries> retries = transaction.service().retries();
+    OptionalLong nextAttemptAt =
+        StatementRetryPolicy.nextAttemptAt(
+            retries,
+            code,
+            attempts,
+            now,
+            arrivedAt,
+            transaction.route().timeout(),
+            environment.metrics());
+    if (nextAttemptAt.isEmpty()) {
       fail(FailureCode.OVERLOADED, "the transaction could not begin: " + code + " " + reason);
       return;
     }
     environment.metrics().recordRetry();
-    enqueue().avoid(lease.connection().pool(), StatementRetryPolicy.nextAttemptAt(code, now));
+    LeaseRequest created = newRequest();
+    MemberPool pool = lease.connection().pool();
+    if (retries.isPresent()) {
+      created.avoid(pool, nextAttemptAt.getAsLong());
+      submit(created);
+    } else {
+      submit(created);
+      created.avoid(pool, nextAttemptAt.getAsLong());
+    }
   }
 
   private void recordPosition(TargetReply reply, ClockReading requestedAt) {
--- a/gateway/src/main/java/org/oleanderstep/gateway/target/LeaseRequest.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/target/LeaseRequest.java
@@ -8,13 +8,14 @@
 import java.util.function.Supplier;
 import org.oleanderstep.core.model.OrganisationId;
 import org.oleanderstep.core.position.LogPosition;
+import org.oleanderstep.core.scheduling.QueuedRequest;
 
 /**
  * A request of a statement or transaction for a connection.
  *
  * <p>Not thread-safe; call only from the traffic thread.
  */
-public final class LeaseRequest {
+public final class LeaseRequest implements QueuedRequest {
 
   /** Several times the usual time; a lost packet or an overloaded member delays a connection. */
   private static final Duration MAX_CONNECTION_WAIT = Duration.ofMillis(150);
@@ -37,11 +38,14 @@
   private final OrganisationId organisation;
   private final int priority;
   private final Requirement requirement;
+  private final long enqueuedAt;
   private final long expiresAt;
   private final Consumer<Lease> onGranted;
   private final Consumer<String> onRefused;
   private final Set<MemberPool> avoidedPools = new HashSet<>();
   private long notBefore;
+  private long targetAt;
+  private Duration target;
   private Optional<MemberPool> awaitedPool = Optional.empty();
   private long awaitedSince;
   private boolean awaitedTooLong;
@@ -62,20 +66,61 @@
     this.organisation = organisation;
     this.priority = priority;
     this.requirement = requirement;
+    this.enqueuedAt = enqueuedAt;
     this.expiresAt = expiresAt;
+    targetAt = expiresAt;
+    target = Duration.ofNanos(expiresAt - enqueuedAt);
     this.onGranted = onGranted;
     this.onRefused = onRefused;
     notBefore = enqueuedAt;
   }
 
-  OrganisationId organisation() {
+  /**
+   * Sets when the caller expects the answer; without it, that is when the request expires.
+   *
+   * @param arrivedAt monotonic time, in nanoseconds, at which the operation has arrived
+   * @param latency the target latency of its route
+   */
+  public LeaseRequest withTarget(long arrivedAt, Duration latency) {
+    targetAt = arrivedAt + latency.toNanos();
+    target = latency;
+    return this;
+  }
+
+  @Override
+  public OrganisationId organisation() {
     return organisation;
   }
 
-  int priority() {
+  @Override
+  public int priority() {
     return priority;
   }
 
+  @Override
+  public boolean needsPrimary() {
+    return requirement.maxStaleness().isEmpty();
+  }
+
+  @Override
+  public long targetAt() {
+    return targetAt;
+  }
+
+  @Override
+  public long targetNanos() {
+    return target.toNanos();
+  }
+
+  @Override
+  public long expiresAt() {
+    return expiresAt;
+  }
+
+  long enqueuedAt() {
+    return enqueuedAt;
+  }
+
   Requirement requirement() {
     return requirement;
   }
@@ -107,6 +152,11 @@
     }
   }
 
+  /** Returns how long this request has awaited a new connection of a pool; zero if it hasn't. */
+  long awaitedNanos(MemberPool pool, long now) {
+    return awaitedPool.filter(awaited -> awaited == pool).isPresent() ? now - awaitedSince : 0;
+  }
+
   /** Prefers other members if the recorded pool takes too long to open a connection. */
   void avoidSlowConnection(long now) {
     if (isAwaitedPoolConnecting() && now - awaitedSince > MAX_CONNECTION_WAIT.toNanos()) {
--- a/gateway/src/main/java/org/oleanderstep/gateway/target/MemberPool.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/target/MemberPool.java
@@ -206,6 +206,18 @@
     return (int) connections.stream().filter(PooledConnection::isLeased).count();
   }
 
+  boolean hasConnections() {
+    return !connections.isEmpty();
+  }
+
+  List<PooledConnection> idleConnections() {
+    return connections.stream().filter(c -> !c.isLeased()).toList();
+  }
+
+  int openingConnections() {
+    return attempts.size();
+  }
+
   boolean hasIdle(OrganisationId organisation) {
     return findIdle(organisation).isPresent();
   }
--- a/gateway/src/main/java/org/oleanderstep/gateway/target/PooledConnection.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/target/PooledConnection.java
@@ -29,6 +29,7 @@
   private final ReplyMatcher matcher = new ReplyMatcher();
   private boolean open = true;
   private boolean leased;
+  private boolean used;
   private long lastUsedAt;
 
   PooledConnection(MemberPool pool, OrganisationId organisation, TargetLink link, long now) {
@@ -56,12 +57,18 @@
     return leased;
   }
 
+  /** Returns whether the connection has ever been leased. */
+  boolean isUsed() {
+    return used;
+  }
+
   long lastUsedAt() {
     return lastUsedAt;
   }
 
   void lease(long now) {
     leased = true;
+    used = true;
     lastUsedAt = now;
   }
 
--- a/gateway/src/main/java/org/oleanderstep/gateway/target/ServicePool.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/target/ServicePool.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import org.oleanderstep.core.freshness.ClockReading;
 import org.oleanderstep.core.freshness.PositionHistory;
@@ -17,6 +18,8 @@
 import org.oleanderstep.core.model.MemberId;
 import org.oleanderstep.core.model.OrganisationId;
 import org.oleanderstep.core.position.LogPosition;
+import org.oleanderstep.core.scheduling.MemberOutage;
+import org.oleanderstep.core.scheduling.ServiceQueue;
 import org.oleanderstep.gateway.control.LoadPolicy;
 import org.oleanderstep.gateway.control.TargetMember;
 import org.oleanderstep.gateway.log.DecisionLog;
@@ -53,10 +56,6 @@
           .thenComparingLong(pool -> pool.member().startMillis());
 
   private final String service;
-
-  @SuppressWarnings("unused") // read by the parts that follow
-  private final LoadPolicy policy;
-
   private final SuspendAwareClock clock;
   private final TargetConnector connector;
   private final DecisionLog log;
@@ -64,13 +63,18 @@
   private final MemberRanking ranking;
   private final Map<MemberId, MemberPool> pools = new HashMap<>();
   private final List<MemberPool> retiredPools = new ArrayList<>();
-  private final List<LeaseRequest> waitingRequests = new ArrayList<>();
+  private final WaitingRequests waitingRequests;
+  private final Optional<OpeningOrder> openingOrder;
+  private final Optional<ServiceRetries> retries;
+  private final MemberOutage primaryOutage;
+  private final MemberOutage outage;
   private final PositionHistory history = new PositionHistory();
   private Set<MemberId> suspects = Set.of();
   private Optional<MemberId> lastPrimary = Optional.empty();
   private Optional<OrganisationId> lastOrganisation = Optional.empty();
   private final List<PositionInquiry> inquiries = new ArrayList<>();
   private boolean sampleInFlight;
+  private int connectionsPerMember = 1;
   private boolean granting;
   private boolean grantAgain;
 
@@ -84,12 +88,62 @@
       DecisionLog log,
       TargetMetrics metrics) {
     this.service = service;
-    this.policy = policy;
     this.clock = clock;
     this.connector = connector;
     this.log = log;
     this.metrics = metrics;
     ranking = new MemberRanking(failureDomain);
+    primaryOutage = new MemberOutage(nowNanos());
+    outage = new MemberOutage(nowNanos());
+    boolean fair = policy.fairQueue();
+    openingOrder = fair ? Optional.of(new OpeningOrder()) : Optional.empty();
+    retries =
+        fair
+            ? Optional.of(new ServiceRetries(this::nowNanos, new SplittableRandom()))
+            : Optional.empty();
+    waitingRequests = fair ? newFairRequests() : new ListedRequests(this::refusalReason);
+  }
+
+  private WaitingRequests newFairRequests() {
+    ServiceQueue<LeaseRequest> queue =
+        new ServiceQueue<>(
+            FairRequests.CAPACITY, new QueueMembers(), new SplittableRandom(), nowNanos());
+    return new FairRequests(service, queue, log, metrics.queue());
+  }
+
+  /** What the queue needs to know of the members. */
+  private final class QueueMembers implements ServiceQueue.Members {
+
+    @Override
+    public boolean available(boolean primary) {
+      return availableInNanos(primary) == 0;
+    }
+
+    @Override
+    public int concurrency(boolean primary) {
+      int connections = 0;
+      for (MemberPool pool : pools.values()) {
+        if (pool.canServeWrites() == primary && (primary || pool.acceptsReads())) {
+          connections += pool.leasedConnections() + pool.openingConnections();
+        }
+      }
+      return Math.max(1, connections);
+    }
+
+    @Override
+    public long availableInNanos(boolean primary) {
+      return (primary ? primaryOutage : outage).remainingNanos(nowNanos());
+    }
+  }
+
+  /** Returns the limits of retries; empty if there are none beyond those of each statement. */
+  public Optional<ServiceRetries> retries() {
+    return retries;
+  }
+
+  /** Sets the weights of organisations, usually their rates. */
+  public void updateWeights(Map<OrganisationId, Double> weights) {
+    waitingRequests.setWeights(weights);
   }
 
   private long nowNanos() {
@@ -98,6 +152,7 @@
 
   /** Replaces the members of the service and the connection limit of this VM for each member. */
   public void update(Collection<TargetMember> members, int connectionsPerMember) {
+    this.connectionsPerMember = connectionsPerMember;
     Set<MemberId> present = new HashSet<>();
     for (TargetMember member : members) {
       present.add(member.id());
@@ -114,6 +169,7 @@
         retire(pools.remove(id));
       }
     }
+    updateOutages();
     grantPending();
   }
 
@@ -143,22 +199,23 @@
   /** Queues a request and grants it immediately if possible. */
   public void submit(LeaseRequest request) {
     lastOrganisation = Optional.of(request.organisation());
-    int index = 0;
-    while (index < waitingRequests.size()
-        && waitingRequests.get(index).priority() <= request.priority()) {
-      index++;
-    }
-    waitingRequests.add(index, request);
+    waitingRequests.submit(request, nowNanos());
     grantPending();
   }
 
   /** Removes a request that is no longer needed. */
   public void cancel(LeaseRequest request) {
-    waitingRequests.remove(request);
+    waitingRequests.cancel(request);
   }
 
   /** Returns a leased connection to its pool. */
   public void release(PooledConnection connection) {
+    if (connection.isOpen()) {
+      long now = nowNanos();
+      long held = now - connection.lastUsedAt();
+      boolean primary = connection.pool().canServeWrites();
+      waitingRequests.recordHoldTime(primary, held, now);
+    }
     connection.pool().release(connection);
   }
 
@@ -225,35 +282,47 @@
   }
 
   private void grantWaitingRequests() {
-    long now = nowNanos();
-    for (LeaseRequest request : List.copyOf(waitingRequests)) {
-      if (!waitingRequests.contains(request)) {
-        continue;
-      }
-      if (request.isExpired(now)) {
-        waitingRequests.remove(request);
-        request.refuse(refusalReason());
-      } else if (request.isDue(now)) {
-        tryGrant(request);
-      }
-    }
+    waitingRequests.grant(this::tryTake, this::idleConnections, nowNanos());
   }
 
   private String refusalReason() {
     return primary().isEmpty() ? "no primary is known" : "no connection became free in time";
   }
 
-  private void tryGrant(LeaseRequest request) {
+  private List<WaitingRequests.Idle> idleConnections() {
+    List<WaitingRequests.Idle> idle = new ArrayList<>();
+    for (MemberPool pool : pools.values()) {
+      for (PooledConnection c : pool.idleConnections()) {
+        idle.add(new WaitingRequests.Idle(c.organisation(), !c.isUsed()));
+      }
+    }
+    return idle;
+  }
+
+  private Optional<Lease> tryTake(LeaseRequest request, boolean mayOpen) {
     Optional<LogPosition> requiredPosition = requiredPosition(request);
     if (requiredPosition.isEmpty()) {
-      primary()
-          .ifPresent(pool -> grantFrom(request, List.of(pool), requiredPosition, Duration.ZERO));
-      return;
+      List<MemberPool> candidates = primary().map(List::of).orElse(List.of());
+      return takeFrom(request, candidates, requiredPosition, Duration.ZERO, mayOpen);
     }
     Duration timeSinceReached = history.timeSinceReached(requiredPosition.get(), clock.read());
     List<MemberPool> ranked =
         ranking.rank(pools.values(), primary(), request, requiredPosition.get(), timeSinceReached);
-    grantFrom(request, ranked, requiredPosition, timeSinceReached);
+    List<MemberPool> candidates =
+        ranked.stream().filter(pool -> maySendRead(pool, ranked)).toList();
+    return takeFrom(request, candidates, requiredPosition, timeSinceReached, mayOpen);
+  }
+
+  /**
+   * Returns whether a read may go to a member. With the fair queue, reads that replicas can serve
+   * leave half of the primary's connections to the statements that only the primary can serve.
+   */
+  private boolean maySendRead(MemberPool pool, List<MemberPool> candidates) {
+    if (openingOrder.isEmpty() || candidates.size() == 1 || !pool.canServeWrites()) {
+      return true;
+    }
+    int inUse = pool.leasedConnections() + pool.openingConnections();
+    return !waitingRequests.needsPrimary() && 2 * (inUse + 1) <= connectionsPerMember;
   }
 
   /** Returns the position that a read requires; empty if only a confirmed primary may serve it. */
@@ -265,23 +334,33 @@
         .map(position -> LogPosition.max(position, request.requirement().sessionPosition().get()));
   }
 
-  private void grantFrom(
+  private Optional<Lease> takeFrom(
       LeaseRequest request,
       List<MemberPool> candidates,
       Optional<LogPosition> requiredPosition,
-      Duration timeSinceReached) {
+      Duration timeSinceReached,
+      boolean mayOpen) {
     for (MemberPool pool : candidates) {
       Optional<PooledConnection> connection = pool.tryLease(request.organisation());
       if (connection.isPresent()) {
-        waitingRequests.remove(request);
-        request.grant(new Lease(connection.get(), requiredPosition, timeSinceReached));
-        return;
+        recordOpening(pool, request);
+        return Optional.of(new Lease(connection.get(), requiredPosition, timeSinceReached));
       }
-      if (ensureOpening(pool, request)) {
+      if (mayOpen && ensureOpening(pool, request)) {
         request.awaitConnectionOf(pool, nowNanos());
-        return;
+        return Optional.empty();
       }
     }
+    return Optional.empty();
+  }
+
+  private void recordOpening(MemberPool pool, LeaseRequest request) {
+    long now = nowNanos();
+    long awaited = request.awaitedNanos(pool, now);
+    waitingRequests.recordOpening(awaited, now);
+    if (awaited > 0) {
+      openingOrder.ifPresent(order -> order.recordOpening(awaited, now));
+    }
   }
 
   /**
@@ -294,7 +373,9 @@
       return !request.avoids(pool);
     }
     request.avoidSlowConnection(nowNanos());
-    return !request.awaitsConnection() && pool.tryOpen(request.organisation());
+    return !request.awaitsConnection()
+        && openingOrder.map(order -> order.mayOpen(pool, request, nowNanos())).orElse(true)
+        && pool.tryOpen(request.organisation());
   }
 
   /** Refuses expired requests, detects unresponsive members, and samples the primary's position. */
@@ -305,12 +386,21 @@
     retiredPools.removeIf(MemberPool::isTerminated);
     updateSuspects();
     updatePrimary();
+    updateOutages();
     inquiries.forEach(inquiry -> inquiry.tick(pools, now));
     inquiries.removeIf(inquiry -> inquiry.result().isDone());
     sampleIfDue();
+    waitingRequests.tick(now);
     grantPending();
   }
 
+  private void updateOutages() {
+    long now = nowNanos();
+    boolean hasPrimary = primary().isPresent();
+    primaryOutage.update(hasPrimary, now);
+    outage.update(hasPrimary || pools.values().stream().anyMatch(MemberPool::acceptsReads), now);
+  }
+
   private void updateSuspects() {
     if (suspects.isEmpty() && pools.values().stream().noneMatch(MemberPool::isSuspect)) {
       return;
@@ -390,7 +480,9 @@
           if (begun && reply.succeeded()) {
             reply.position().ifPresent(position -> recordPosition(requestedAt, position));
           }
-          release(connection);
+          // Not measured: a sample takes no slot, and the time that it takes says nothing on
+          // others.
+          connection.pool().release(connection);
         }
 
         @Override
--- a/gateway/src/main/java/org/oleanderstep/gateway/target/TargetMetrics.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/target/TargetMetrics.java
@@ -3,7 +3,7 @@
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.MeterRegistry;
 
-/** Counts replies of members that belong to no command. */
+/** Counts replies of members that belong to no command; holds the metrics of the queue. */
 public final class TargetMetrics {
 
   private static final String METER = "oleanderstep.target.surplus.replies";
@@ -11,11 +11,17 @@
 
   private final Counter repeated;
   private final Counter contradictory;
+  private final QueueMetrics queue;
 
   /** Registers the meters. */
   public TargetMetrics(MeterRegistry registry) {
     repeated = registry.counter(METER, TAG, "repeated");
     contradictory = registry.counter(METER, TAG, "contradictory");
+    queue = new QueueMetrics(registry);
+  }
+
+  QueueMetrics queue() {
+    return queue;
   }
 
   void recordRepeatedReply() {
