--- a/gateway/src/main/java/org/oleanderstep/gateway/Gateway.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/Gateway.java
@@ -130,6 +130,7 @@
         .write();
     configuration = update;
     applyRates();
+    services.values().forEach(service -> service.updateWeights(weights()));
     updateServices();
   }
 
@@ -229,6 +230,12 @@
     borrower.update(configuration.limits(), lenderShares);
   }
 
+  private Map<OrganisationId, Double> weights() {
+    Map<OrganisationId, Double> weights = new HashMap<>();
+    configuration.limits().forEach((name, limit) -> weights.put(name, limit.ratePerSecond()));
+    return weights;
+  }
+
   /** Updates the members of all services. */
   public void updateMembers(Collection<TargetMember> update) {
     directory.update(update, clock.monotonicNanos());
@@ -239,12 +246,7 @@
     Set<String> names = new HashSet<>(configuration.connectionLimits().keySet());
     names.addAll(services.keySet());
     for (String name : names) {
-      ServicePool service =
-          services.computeIfAbsent(
-              name,
-              n ->
-                  new ServicePool(
-                      n, failureDomain, policy, clock, connector, log, metrics.targets()));
+      ServicePool service = services.computeIfAbsent(name, this::newService);
       service.updateEvacuated(evacuated);
       service.updateColdShare(coldShare(name));
       service.update(membersOf(name), connectionsPerMember(name));
@@ -252,6 +254,13 @@
     recordEvacuatedMembers();
   }
 
+  private ServicePool newService(String name) {
+    ServicePool service =
+        new ServicePool(name, failureDomain, policy, clock, connector, log, metrics.targets());
+    service.updateWeights(weights());
+    return service;
+  }
+
   private List<TargetMember> membersOf(String service) {
     return directory.members().stream().filter(m -> m.service().equals(service)).toList();
   }
--- a/gateway/src/main/java/org/oleanderstep/gateway/session/Session.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/session/Session.java
@@ -349,7 +349,8 @@
 
   private void beginAdmitted(Statement statement, GatewayRoute route, ServicePool service) {
     boolean readOnly = statement.kind() == StatementKind.BEGIN_READ;
-    transaction = Optional.of(new TransactionState(route, service, readOnly, now()));
+    transaction =
+        Optional.of(new TransactionState(route, service, readOnly, now() - startedAt, now()));
     status = SessionStatus.IN_TRANSACTION;
     answer(Answer.DONE);
   }
@@ -448,6 +449,7 @@
             organisation.get(),
             resolved,
             requirement(route, resolved.writes()),
+            now() - startedAt,
             (answer, position) -> onAnswered(resolved, answer, position));
     task = Optional.of(created);
     created.start();
--- a/gateway/src/main/java/org/oleanderstep/gateway/session/SingleStatementTask.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/session/SingleStatementTask.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.BiConsumer;
 import org.oleanderstep.core.freshness.ClockReading;
 import org.oleanderstep.core.model.OrganisationId;
@@ -9,9 +10,11 @@
 import org.oleanderstep.gateway.control.GatewayRoute;
 import org.oleanderstep.gateway.target.Lease;
 import org.oleanderstep.gateway.target.LeaseRequest;
+import org.oleanderstep.gateway.target.MemberPool;
 import org.oleanderstep.gateway.target.PooledConnection;
 import org.oleanderstep.gateway.target.ReplyHandler;
 import org.oleanderstep.gateway.target.ServicePool;
+import org.oleanderstep.gateway.target.ServiceRetries;
 import org.oleanderstep.gateway.target.TargetCommand;
 import org.oleanderstep.gateway.target.TargetReply;
 
@@ -39,6 +42,7 @@
   private final BiConsumer<Answer, Optional<LogPosition>> onAnswer;
   private final long arrivedAt;
   private final long deadline;
+  private final OperationTime time;
   private LeaseRequest request;
   private PooledConnection connection;
   private Optional<Lease> lastLease = Optional.empty();
@@ -51,6 +55,7 @@
   /**
    * Creates the task.
    *
+   * @param tokenWaitNanos how long the operation waited for a token of its organisation's rate
    * @param onAnswer receives the answer, and the member's position if the statement was executed
    */
   SingleStatementTask(
@@ -60,6 +65,7 @@
       OrganisationId organisation,
       ResolvedStatement statement,
       LeaseRequest.Requirement requirement,
+      long tokenWaitNanos,
       BiConsumer<Answer, Optional<LogPosition>> onAnswer) {
     this.environment = environment;
     this.service = service;
@@ -70,6 +76,7 @@
     this.onAnswer = onAnswer;
     arrivedAt = now();
     deadline = arrivedAt + route.timeout().toNanos();
+    time = new OperationTime(tokenWaitNanos, arrivedAt);
   }
 
   private long now() {
@@ -78,20 +85,26 @@
 
   @Override
   public void start() {
+    service.retries().ifPresent(ServiceRetries::onFirstAttempt);
     enqueue();
   }
 
   private void enqueue() {
-    request =
-        new LeaseRequest(
+    request = newRequest();
+    service.submit(request);
+  }
+
+  private LeaseRequest newRequest() {
+    time.enter(OperationTime.Part.CONNECTION, now());
+    return new LeaseRequest(
             organisation,
             route.priority(),
             requirement,
             now(),
             QueueLimit.expiresAt(arrivedAt, route.timeout(), attempts),
             this::onGranted,
-            this::onRefused);
-    service.submit(request);
+            this::onRefused)
+        .withTarget(arrivedAt - time.in(OperationTime.Part.TOKEN).toNanos(), route.targetLatency());
   }
 
   private void onRefused(String reason) {
@@ -111,6 +124,7 @@
     lastLease = Optional.of(lease);
     attempts++;
     grantedAt = now();
+    time.enter(OperationTime.Part.SYNCHRONIZATION, grantedAt);
     statement.synchronize(lease.connection(), failure -> onSynchronized(lease, failure));
     lease.connection().flush();
   }
@@ -143,6 +157,7 @@
   private void send(Lease lease) {
     sent = true;
     ClockReading requestedAt = environment.clock().read();
+    time.enter(OperationTime.Part.MEMBER, requestedAt.monotonicNanos());
     if (lease.mustConfirmPrimary() && !statement.writes()) {
       sendWithPrimaryConfirmation(lease.connection(), requestedAt);
     } else {
@@ -268,7 +283,8 @@
   private void retryOrFinish(Lease lease, Answer.Failure failure) {
     long now = now();
     lastFailure = failure.code() + " from " + lease.connection().pool().member().id().name();
-    if (StatementRetryPolicy.isExhausted(attempts, now, deadline)) {
+    OptionalLong nextAttemptAt = nextAttemptAt(failure.code(), now);
+    if (nextAttemptAt.isEmpty()) {
       finish(failure, Optional.empty());
       return;
     }
@@ -283,9 +299,20 @@
         .write();
     connection = null;
     sent = false;
-    enqueue();
-    request.avoid(
-        lease.connection().pool(), StatementRetryPolicy.nextAttemptAt(failure.code(), now));
+    request = newRequest();
+    MemberPool pool = lease.connection().pool();
+    if (service.retries().isPresent()) {
+      request.avoid(pool, nextAttemptAt.getAsLong());
+      service.submit(request);
+    } else {
+      service.submit(request);
+      request.avoid(pool, nextAttemptAt.getAsLong());
+    }
+  }
+
+  private OptionalLong nextAttemptAt(FailureCode code, long now) {
+    return StatementRetryPolicy.nextAttemptAt(
+        service.retries(), code, attempts, now, arrivedAt, route.timeout(), environment.metrics());
   }
 
   private void finish(Answer answer, Optional<LogPosition> position) {
@@ -298,9 +325,9 @@
   }
 
   private void logEnd(Answer answer) {
-    environment
-        .log()
-        .request("statement")
+    time.end(now());
+    environment.metrics().recordParts(time);
+    time.writeTo(environment.log().request("statement"))
         .with("request", statement.statement().id())
         .with("organisation", organisation)
         .with("route", route.name())
--- a/gateway/src/main/java/org/oleanderstep/gateway/session/TransactionStatementTask.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/session/TransactionStatementTask.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 import org.oleanderstep.core.freshness.ClockReading;
 import org.oleanderstep.core.model.OrganisationId;
@@ -9,8 +10,10 @@
 import org.oleanderstep.gateway.control.GatewayRoute;
 import org.oleanderstep.gateway.target.Lease;
 import org.oleanderstep.gateway.target.LeaseRequest;
+import org.oleanderstep.gateway.target.MemberPool;
 import org.oleanderstep.gateway.target.PooledConnection;
 import org.oleanderstep.gateway.target.ReplyHandler;
+import org.oleanderstep.gateway.target.ServiceRetries;
 import org.oleanderstep.gateway.target.TargetCommand;
 import org.oleanderstep.gateway.target.TargetReply;
 
@@ -33,6 +36,7 @@
   private final Consumer<Result> onResult;
   private final long arrivedAt;
   private final long deadline;
+  private final OperationTime time;
   private Optional<LeaseRequest> request = Optional.empty();
   private Optional<PooledConnection> beginningConnection = Optional.empty();
   private Optional<Answer.Failure> preparationFailure = Optional.empty();
@@ -57,6 +61,7 @@
     this.onResult = onResult;
     arrivedAt = now();
     deadline = arrivedAt + transaction.route().timeout().toNanos();
+    time = new OperationTime(transaction.takeTokenWait(), arrivedAt);
   }
 
   private long now() {
@@ -70,6 +75,7 @@
   @Override
   public void start() {
     if (!transaction.hasConnection()) {
+      transaction.service().retries().ifPresent(ServiceRetries::onFirstAttempt);
       enqueue();
     } else if (transaction.connection().acceptsCommands()) {
       send();
@@ -78,20 +84,27 @@
     }
   }
 
-  private LeaseRequest enqueue() {
+  private void enqueue() {
+    submit(newRequest());
+  }
+
+  private void submit(LeaseRequest created) {
+    request = Optional.of(created);
+    transaction.service().submit(created);
+  }
+
+  private LeaseRequest newRequest() {
     GatewayRoute route = transaction.route();
-    LeaseRequest created =
-        new LeaseRequest(
+    time.enter(OperationTime.Part.CONNECTION, now());
+    return new LeaseRequest(
             organisation,
             route.priority(),
             requirement,
             now(),
             QueueLimit.expiresAt(arrivedAt, route.timeout(), attempts),
             this::begin,
-            this::onRefused);
-    request = Optional.of(created);
-    transaction.service().submit(created);
-    return created;
+            this::onRefused)
+        .withTarget(arrivedAt - time.in(OperationTime.Part.TOKEN).toNanos(), route.targetLatency());
   }
 
   private void onRefused(String reason) {
@@ -103,6 +116,7 @@
 
   private void begin(Lease lease) {
     attempts++;
+    time.enter(OperationTime.Part.SYNCHRONIZATION, now());
     PooledConnection connection = lease.connection();
     beginningConnection = Optional.of(connection);
     preparationFailure = Optional.empty();
@@ -152,12 +166,30 @@
       return;
     }
     long now = now();
-    if (StatementRetryPolicy.isExhausted(attempts, now, deadline)) {
+    Optional<ServiceRetries> retries = transaction.service().retries();
+    OptionalLong nextAttemptAt =
+        StatementRetryPolicy.nextAttemptAt(
+            retries,
+            code,
+            attempts,
+            now,
+            arrivedAt,
+            transaction.route().timeout(),
+            environment.metrics());
+    if (nextAttemptAt.isEmpty()) {
       fail(FailureCode.OVERLOADED, "the transaction could not begin: " + code + " " + reason);
       return;
     }
     environment.metrics().recordRetry();
-    enqueue().avoid(lease.connection().pool(), StatementRetryPolicy.nextAttemptAt(code, now));
+    LeaseRequest created = newRequest();
+    MemberPool pool = lease.connection().pool();
+    if (retries.isPresent()) {
+      created.avoid(pool, nextAttemptAt.getAsLong());
+      submit(created);
+    } else {
+      submit(created);
+      created.avoid(pool, nextAttemptAt.getAsLong());
+    }
   }
 
   private void recordPosition(TargetReply reply, ClockReading requestedAt) {
@@ -167,6 +199,7 @@
   }
 
   private void send() {
+    time.enter(OperationTime.Part.SYNCHRONIZATION, now());
     PooledConnection connection = transaction.connection();
     if (!connection.acceptsCommands()) {
       fail(FailureCode.ABORTED, "the connection of the transaction was lost");
@@ -200,12 +233,14 @@
   }
 
   private void resendLater() {
+    time.enter(OperationTime.Part.SYNCHRONIZATION, now());
     sent = false;
     resendAt = Optional.of(now() + StatementRetryPolicy.RETRY_DELAY.toNanos());
   }
 
   private void sendSynchronized(PooledConnection connection) {
     ClockReading requestedAt = environment.clock().read();
+    time.enter(OperationTime.Part.MEMBER, requestedAt.monotonicNanos());
     sent = true;
     statement.send(
         connection,
@@ -301,9 +336,9 @@
   }
 
   private void logEnd(Answer answer) {
-    environment
-        .log()
-        .request("transaction_statement")
+    time.end(now());
+    environment.metrics().recordParts(time);
+    time.writeTo(environment.log().request("transaction_statement"))
         .with("request", statement.statement().id())
         .with("organisation", organisation)
         .with("route", transaction.route().name())
--- a/gateway/src/main/java/org/oleanderstep/gateway/target/PooledConnection.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/target/PooledConnection.java
@@ -31,6 +31,7 @@
   private boolean leased;
   private int statementsOfLease;
   private WorkClass work = WorkClass.PROXY;
+  private boolean used;
   private long lastUsedAt;
 
   PooledConnection(MemberPool pool, OrganisationId organisation, TargetLink link, long now) {
@@ -63,6 +64,11 @@
     return leased;
   }
 
+  /** Returns whether the connection has ever been leased. */
+  boolean isUsed() {
+    return used;
+  }
+
   long lastUsedAt() {
     return lastUsedAt;
   }
@@ -70,6 +76,7 @@
   void lease(WorkClass workClass, long now) {
     leased = true;
     work = workClass;
+    used = true;
     lastUsedAt = now;
     statementsOfLease = 0;
   }
--- a/gateway/src/main/java/org/oleanderstep/gateway/target/ServicePool.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/target/ServicePool.java
@@ -21,6 +21,8 @@
 import org.oleanderstep.core.placement.EvacuatedDomains;
 import org.oleanderstep.core.position.LogPosition;
 import org.oleanderstep.core.scheduling.ColdShare;
+import org.oleanderstep.core.scheduling.MemberOutage;
+import org.oleanderstep.core.scheduling.ServiceQueue;
 import org.oleanderstep.gateway.control.LoadPolicy;
 import org.oleanderstep.gateway.control.TargetMember;
 import org.oleanderstep.gateway.log.DecisionLog;
@@ -57,7 +59,6 @@
           .thenComparingLong(pool -> pool.member().startMillis());
 
   private final String service;
-
   private final SuspendAwareClock clock;
   private final TargetConnector connector;
   private final DecisionLog log;
@@ -66,7 +67,11 @@
   private final MemberRanking ranking;
   private final Map<MemberId, MemberPool> pools = new HashMap<>();
   private final List<MemberPool> retiredPools = new ArrayList<>();
-  private final List<LeaseRequest> waitingRequests = new ArrayList<>();
+  private final WaitingRequests waitingRequests;
+  private final Optional<OpeningOrder> openingOrder;
+  private final Optional<ServiceRetries> retries;
+  private final MemberOutage primaryOutage;
+  private final MemberOutage outage;
   private final PositionHistory history = new PositionHistory();
   private EvacuatedDomains evacuated = EvacuatedDomains.NONE;
   private ColdShare coldShare = ColdShare.UNLIMITED;
@@ -75,6 +80,7 @@
   private Optional<OrganisationId> lastOrganisation = Optional.empty();
   private final List<PositionInquiry> inquiries = new ArrayList<>();
   private boolean sampleInFlight;
+  private int connectionsPerMember = 1;
   private boolean granting;
   private boolean grantAgain;
 
@@ -108,6 +114,57 @@
     measurements =
         new ServiceMeasurements(service, policy, log, metrics, random, clock.monotonicNanos());
     ranking = new MemberRanking(failureDomain, measurements);
+    primaryOutage = new MemberOutage(nowNanos());
+    outage = new MemberOutage(nowNanos());
+    boolean fair = policy.fairQueue();
+    openingOrder = fair ? Optional.of(new OpeningOrder()) : Optional.empty();
+    retries =
+        fair
+            ? Optional.of(new ServiceRetries(this::nowNanos, new SplittableRandom()))
+            : Optional.empty();
+    waitingRequests = fair ? newFairRequests() : new ListedRequests(this::refusalReason);
+  }
+
+  private WaitingRequests newFairRequests() {
+    ServiceQueue<LeaseRequest> queue =
+        new ServiceQueue<>(
+            FairRequests.CAPACITY, new QueueMembers(), new SplittableRandom(), nowNanos());
+    return new FairRequests(service, queue, log, metrics.queue());
+  }
+
+  /** What the queue needs to know of the members. */
+  private final class QueueMembers implements ServiceQueue.Members {
+
+    @Override
+    public boolean available(boolean primary) {
+      return availableInNanos(primary) == 0;
+    }
+
+    @Override
+    public int concurrency(boolean primary) {
+      int connections = 0;
+      for (MemberPool pool : pools.values()) {
+        if (pool.canServeWrites() == primary && (primary || pool.acceptsReads())) {
+          connections += pool.leasedConnections() + pool.openingConnections();
+        }
+      }
+      return Math.max(1, connections);
+    }
+
+    @Override
+    public long availableInNanos(boolean primary) {
+      return (primary ? primaryOutage : outage).remainingNanos(nowNanos());
+    }
+  }
+
+  /** Returns the limits of retries; empty if there are none beyond those of each statement. */
+  public Optional<ServiceRetries> retries() {
+    return retries;
+  }
+
+  /** Sets the weights of organisations, usually their rates. */
+  public void updateWeights(Map<OrganisationId, Double> weights) {
+    waitingRequests.setWeights(weights);
   }
 
   private long nowNanos() {
@@ -116,6 +173,7 @@
 
   /** Replaces the members of the service and the connection limit of this VM for each member. */
   public void update(Collection<TargetMember> members, int connectionsPerMember) {
+    this.connectionsPerMember = connectionsPerMember;
     Set<MemberId> present = new HashSet<>();
     for (TargetMember member : members) {
       present.add(member.id());
@@ -133,6 +191,7 @@
         retire(pools.remove(id));
       }
     }
+    updateOutages();
     closeEvacuated();
   }
 
@@ -176,7 +235,14 @@
   private MemberPool newPool(TargetMember member, int limit) {
     MemberPool pool =
         new MemberPool(
-            member, limit, connector, this::nowNanos, log, metrics, measurements, this::grantPending);
+            member,
+            limit,
+            connector,
+            this::nowNanos,
+            log,
+            metrics,
+            measurements,
+            this::grantPending);
     applyPlacement(pool);
     return pool;
   }
@@ -202,22 +268,23 @@
   /** Queues a request and grants it immediately if possible. */
   public void submit(LeaseRequest request) {
     lastOrganisation = Optional.of(request.organisation());
-    int index = 0;
-    while (index < waitingRequests.size()
-        && waitingRequests.get(index).priority() <= request.priority()) {
-      index++;
-    }
-    waitingRequests.add(index, request);
+    waitingRequests.submit(request, nowNanos());
     grantPending();
   }
 
   /** Removes a request that is no longer needed. */
   public void cancel(LeaseRequest request) {
-    waitingRequests.remove(request);
+    waitingRequests.cancel(request);
   }
 
   /** Returns a leased connection to its pool. */
   public void release(PooledConnection connection) {
+    if (connection.isOpen()) {
+      long now = nowNanos();
+      long held = now - connection.lastUsedAt();
+      boolean primary = connection.pool().canServeWrites();
+      waitingRequests.recordHoldTime(primary, held, now);
+    }
     connection.pool().release(connection);
   }
 
@@ -287,19 +354,11 @@
   }
 
   private void grantWaitingRequests() {
-    long now = nowNanos();
-    boolean refuseAll = isEvacuated();
-    for (LeaseRequest request : List.copyOf(waitingRequests)) {
-      if (!waitingRequests.contains(request)) {
-        continue;
-      }
-      if (refuseAll || request.isExpired(now)) {
-        waitingRequests.remove(request);
-        request.refuse(refusalReason());
-      } else if (request.isDue(now)) {
-        tryGrant(request);
-      }
+    if (isEvacuated()) {
+      waitingRequests.refuseAll(refusalReason());
+      return;
     }
+    waitingRequests.grant(this::tryTake, this::idleConnections, nowNanos());
   }
 
   private String refusalReason() {
@@ -309,17 +368,40 @@
     return primary().isEmpty() ? "no primary is known" : "no connection became free in time";
   }
 
-  private void tryGrant(LeaseRequest request) {
+  private List<WaitingRequests.Idle> idleConnections() {
+    List<WaitingRequests.Idle> idle = new ArrayList<>();
+    for (MemberPool pool : pools.values()) {
+      for (PooledConnection c : pool.idleConnections()) {
+        idle.add(new WaitingRequests.Idle(c.organisation(), !c.isUsed()));
+      }
+    }
+    return idle;
+  }
+
+  private Optional<Lease> tryTake(LeaseRequest request, boolean mayOpen) {
     Optional<LogPosition> requiredPosition = requiredPosition(request);
     if (requiredPosition.isEmpty()) {
-      primary()
-          .ifPresent(pool -> grantFrom(request, List.of(pool), requiredPosition, Duration.ZERO));
-      return;
+      List<MemberPool> candidates = primary().map(List::of).orElse(List.of());
+      return takeFrom(request, candidates, requiredPosition, Duration.ZERO, mayOpen);
     }
     Duration timeSinceReached = history.timeSinceReached(requiredPosition.get(), clock.read());
     List<MemberPool> ranked =
         ranking.rank(pools.values(), primary(), request, requiredPosition.get(), timeSinceReached);
-    grantFrom(request, ranked, requiredPosition, timeSinceReached);
+    List<MemberPool> candidates =
+        ranked.stream().filter(pool -> maySendRead(pool, ranked)).toList();
+    return takeFrom(request, candidates, requiredPosition, timeSinceReached, mayOpen);
+  }
+
+  /**
+   * Returns whether a read may go to a member. With the fair queue, reads that replicas can serve
+   * leave half of the primary's connections to the statements that only the primary can serve.
+   */
+  private boolean maySendRead(MemberPool pool, List<MemberPool> candidates) {
+    if (openingOrder.isEmpty() || candidates.size() == 1 || !pool.canServeWrites()) {
+      return true;
+    }
+    int inUse = pool.leasedConnections() + pool.openingConnections();
+    return !waitingRequests.needsPrimary() && 2 * (inUse + 1) <= connectionsPerMember;
   }
 
   /** Returns the position that a read requires; empty if only a confirmed primary may serve it. */
@@ -331,11 +413,12 @@
         .map(position -> LogPosition.max(position, request.requirement().sessionPosition().get()));
   }
 
-  private void grantFrom(
+  private Optional<Lease> takeFrom(
       LeaseRequest request,
       List<MemberPool> candidates,
       Optional<LogPosition> requiredPosition,
-      Duration timeSinceReached) {
+      Duration timeSinceReached,
+      boolean mayOpen) {
     for (MemberPool pool : candidates) {
       if (pool.isCold() && pool.isAtColdLimit(clock.read().wallClockMillis())) {
         continue;
@@ -344,15 +427,24 @@
       if (connection.isPresent()) {
         pool.countRequest();
         measurements.onGranted(pool, nowNanos());
-        waitingRequests.remove(request);
-        request.grant(new Lease(connection.get(), requiredPosition, timeSinceReached));
-        return;
+        recordOpening(pool, request);
+        return Optional.of(new Lease(connection.get(), requiredPosition, timeSinceReached));
       }
-      if (ensureOpening(pool, request)) {
+      if (mayOpen && ensureOpening(pool, request)) {
         request.awaitConnectionOf(pool, nowNanos());
-        return;
+        return Optional.empty();
       }
     }
+    return Optional.empty();
+  }
+
+  private void recordOpening(MemberPool pool, LeaseRequest request) {
+    long now = nowNanos();
+    long awaited = request.awaitedNanos(pool, now);
+    waitingRequests.recordOpening(awaited, now);
+    if (awaited > 0) {
+      openingOrder.ifPresent(order -> order.recordOpening(awaited, now));
+    }
   }
 
   /**
@@ -365,7 +457,9 @@
       return !request.avoids(pool);
     }
     request.avoidSlowConnection(nowNanos());
-    return !request.awaitsConnection() && pool.tryOpen(request.organisation());
+    return !request.awaitsConnection()
+        && openingOrder.map(order -> order.mayOpen(pool, request, nowNanos())).orElse(true)
+        && pool.tryOpen(request.organisation());
   }
 
   /** Refuses expired requests, detects unresponsive members, and samples the primary's position. */
@@ -377,12 +471,21 @@
     updateSuspects();
     updatePrimary();
     measurements.tick(pools.values(), primary(), now);
+    updateOutages();
     inquiries.forEach(inquiry -> inquiry.tick(pools, now));
     inquiries.removeIf(inquiry -> inquiry.result().isDone());
     sampleIfDue();
+    waitingRequests.tick(now);
     grantPending();
   }
 
+  private void updateOutages() {
+    long now = nowNanos();
+    boolean hasPrimary = primary().isPresent();
+    primaryOutage.update(hasPrimary, now);
+    outage.update(hasPrimary || pools.values().stream().anyMatch(MemberPool::acceptsReads), now);
+  }
+
   private void updateSuspects() {
     if (suspects.isEmpty() && pools.values().stream().noneMatch(MemberPool::isSuspect)) {
       return;
@@ -462,7 +565,9 @@
           if (begun && reply.succeeded()) {
             reply.position().ifPresent(position -> recordPosition(requestedAt, position));
           }
-          release(connection);
+          // Not measured: a sample takes no slot, and the time that it takes says nothing on
+          // others.
+          connection.pool().release(connection);
         }
 
         @Override
--- a/gateway/src/main/java/org/oleanderstep/gateway/target/TargetMetrics.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/target/TargetMetrics.java
@@ -22,6 +22,7 @@
   private final Counter evacuatedConnections;
   private final Counter coldDeferrals;
   private final AtomicInteger evacuatedMembers = new AtomicInteger();
+  private final QueueMetrics queue;
 
   /** Registers the meters. */
   public TargetMetrics(MeterRegistry registry) {
@@ -31,6 +32,11 @@
     evacuatedConnections = registry.counter("oleanderstep.evacuation.closed.connections");
     coldDeferrals = registry.counter("oleanderstep.cold.deferrals");
     registry.gauge("oleanderstep.evacuation.members", evacuatedMembers);
+    queue = new QueueMetrics(registry);
+  }
+
+  QueueMetrics queue() {
+    return queue;
   }
 
   void recordRepeatedReply() {
