Keep a place in each turn of a cold member for a VM that others do not know

Where VMs take turns, a VM that others do not know yet ranks itself among more VMs and may take a place in addition to theirs.

--- a/core/src/main/java/org/oleanderstep/core/scheduling/ColdShare.java
+++ b/core/src/main/java/org/oleanderstep/core/scheduling/ColdShare.java
@@ -32,6 +32,9 @@
   /** The clocks of VMs differ, so that those of two turns may send within the same second. */
   private static final int OVERLAPPING_TURNS = 2;
 
+  /** A VM that others do not know yet may take a place in its turn in addition to theirs. */
+  private static final int RESERVED_PLACES = 1;
+
   /** Makes a defensive copy of the VMs. */
   public ColdShare {
     vms = Set.copyOf(vms);
@@ -57,7 +60,7 @@
   }
 
   private int permitsByTurn(MemberId member, long wallClockMillis) {
-    int places = (int) (bound / (OVERLAPPING_TURNS * GROWTH));
+    int places = Math.max(1, (int) (bound / (OVERLAPPING_TURNS * GROWTH)) - RESERVED_PLACES);
     String turn = member.name() + '/' + Math.floorDiv(wallClockMillis, TURN.toMillis());
     long own = RendezvousHash.weight(turn, self.name());
     long ahead =
