--- a/core/src/test/java/org/oleanderstep/core/admission/RateClaimPlannerTest.java
+++ b/core/src/test/java/org/oleanderstep/core/admission/RateClaimPlannerTest.java
@@ -256,6 +256,27 @@
         .isEqualTo(2);
   }
 
+  // A rate of which a holder can't reach the store must not be divided further: its parts would
+  // often be below the token of one operation.
+  @Test
+  void should_not_replace_a_holder_that_still_lends() {
+    Map<OrganisationId, RateLimiter.Limit> low = Map.of(SHOP, new RateLimiter.Limit(4, 8));
+    claims =
+        new RateClaimPlanner(VMS.get(0))
+            .plan(claims, Map.of(), low, new RateClaimPlanner.Vms(ALL, ALL));
+    RateClaims before = claims;
+    Set<VmId> live = new LinkedHashSet<>(VMS);
+    live.remove(claims.shares().get(SHOP).keySet().iterator().next());
+
+    for (VmId vm : live) {
+      claims =
+          new RateClaimPlanner(vm, true)
+              .plan(claims, Map.of(), low, new RateClaimPlanner.Vms(ALL, live));
+    }
+
+    assertThat(claims.shares()).isEqualTo(before.shares());
+  }
+
   // If a new VM displaced holders, every VM of a growing fleet would change the claims at the same
   // moment, and nearly all of these conditional writes would conflict.
   @Test
--- a/core/src/test/java/org/oleanderstep/core/admission/RateLimiterTest.java
+++ b/core/src/test/java/org/oleanderstep/core/admission/RateLimiterTest.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.oleanderstep.core.model.OrganisationId;
+import org.oleanderstep.core.model.VmId;
 
 class RateLimiterTest {
 
@@ -71,6 +72,29 @@
     assertThat(limiter.tokens(SHOP, STEP)).isLessThan(1.0);
   }
 
+  // Tokens that come back after the bucket was refilled, or twice, would exist twice.
+  @Test
+  void should_credit_a_loan_once_and_only_while_it_counts() {
+    RateLimiter limiter = limiter(1);
+    lend(limiter, 1);
+    limiter.returnLoan(SHOP, 1, 2, 0);
+    assertThat(limiter.tokens(SHOP, 0)).isWithin(1e-6).of(2);
+    limiter.returnLoan(SHOP, 1, 2, 0);
+    assertThat(limiter.tokens(SHOP, 0)).isWithin(1e-6).of(2);
+
+    lend(limiter, 2);
+    long later = Duration.ofMillis(301).toNanos();
+    limiter.expireLoans(later);
+    double before = limiter.tokens(SHOP, later);
+    limiter.returnLoan(SHOP, 2, 2, later);
+    assertThat(limiter.tokens(SHOP, later)).isEqualTo(before);
+  }
+
+  private static void lend(RateLimiter limiter, long id) {
+    assertThat(limiter.lend(new TokenBorrower.LoanRequest(id, new VmId("vm"), SHOP, 3), 0, 0))
+        .isGreaterThan(0);
+  }
+
   @Test
   void should_refuse_organisations_that_are_not_declared() {
     assertThat(limiter(1.0).tryAcquire(new OrganisationId("other"), 0)).isFalse();
