Smooth the queue's estimate, so that fewer requests are refused after a wait

Most refusals of waiting requests came from the number of connections in use, which changes with each opening: a request was accepted at a high number and refused at a low one. The number is now a mean over ten ticks, and a request that waits is refused only when the estimate is twice what it has left.

--- a/core/src/main/java/org/oleanderstep/core/scheduling/ServiceQueue.java
+++ b/core/src/main/java/org/oleanderstep/core/scheduling/ServiceQueue.java
@@ -65,8 +65,13 @@
   /** The expected wait must exceed the time left by this factor; the estimate is a rough one. */
   private static final double CLEARLY_WORSE = 1.25;
 
+  /** The same for a request that waits, since refusing it late costs more than not to accept it. */
+  private static final double CLEARLY_WORSE_WHILE_WAITING = 2;
+
   private static final double MIN_WEIGHT = 0.001;
 
+  private static final Duration CONCURRENCY_VALIDITY = Duration.ofMillis(200);
+
   private static final Duration MEASUREMENT_VALIDITY = Duration.ofSeconds(5);
 
   private final class Lane {
@@ -91,6 +96,8 @@
   private final RecentMean primaryHoldTime = new RecentMean(MEASUREMENT_VALIDITY);
   private final RecentMean holdTime = new RecentMean(MEASUREMENT_VALIDITY);
   private final RecentMean openingPerGrant = new RecentMean(MEASUREMENT_VALIDITY);
+  private final RecentMean primaryConcurrency = new RecentMean(CONCURRENCY_VALIDITY);
+  private final RecentMean concurrency = new RecentMean(CONCURRENCY_VALIDITY);
   private int size;
   private int grantsToOthers;
 
@@ -144,7 +151,12 @@
     Lane lane = lane(request);
     long estimate = estimateNanos(lane, level(request), ahead(lane, request), now);
     Optional<QueueRefusal> refusal =
-        judge(lane, estimate, allowedWait(request, lane, now), QueueRefusal.Reason.ON_ARRIVAL);
+        judge(
+            lane,
+            estimate,
+            allowedWait(request, lane, now),
+            CLEARLY_WORSE,
+            QueueRefusal.Reason.ON_ARRIVAL);
     if (refusal.isPresent()) {
       return Optional.of(new Refused<>(request, refusal.get()));
     }
@@ -211,13 +223,24 @@
       return 0;
     }
     double held = hold.getAsLong() + openingPerGrant.nanos(now).orElse(0);
-    double nanosPerGrant = held / members.concurrency(lane.primary);
+    double nanosPerGrant = held / concurrency(lane.primary, now);
     double guaranteed = 1.0 / GRANTS_PER_LEAST_URGENT;
     double share = Math.max(guaranteed, 1 - urgentRate * nanosPerGrant);
     double inTurn = urgentWaiting + (ahead + 1) / share;
     return (long) (nanosPerGrant * Math.min(inTurn, (ahead + 1) / guaranteed));
   }
 
+  // The number of connections in use changes with each opening; a mean over ten ticks doesn't.
+  private double concurrency(boolean primary, long now) {
+    long thousandths = (primary ? primaryConcurrency : concurrency).nanos(now).orElse(0);
+    return thousandths > 0 ? thousandths / 1_000.0 : members.concurrency(primary);
+  }
+
+  private void sampleConcurrency(long now) {
+    primaryConcurrency.record(1_000L * members.concurrency(true), now);
+    concurrency.record(1_000L * members.concurrency(false), now);
+  }
+
   private List<Lane> moreUrgent(Lane lane, int level) {
     return levels.subList(0, level).stream()
         .flatMap(List::stream)
@@ -226,13 +249,13 @@
   }
 
   private Optional<QueueRefusal> judge(
-      Lane lane, long estimate, long allowed, QueueRefusal.Reason late) {
+      Lane lane, long estimate, long allowed, double factor, QueueRefusal.Reason late) {
     if (!members.available(lane.primary)) {
       return estimate > allowed
           ? Optional.of(QueueRefusal.of(QueueRefusal.Reason.NO_MEMBER, estimate, estimate, random))
           : Optional.empty();
     }
-    return estimate > CLEARLY_WORSE * allowed
+    return estimate > factor * allowed
         ? Optional.of(QueueRefusal.of(late, estimate, estimate - allowed, random))
         : Optional.empty();
   }
@@ -349,6 +372,7 @@
     if (size == 0) {
       return unservable;
     }
+    sampleConcurrency(now);
     for (int level = 0; level <= LOWEST_PRIORITY; level++) {
       for (Lane lane : levels.get(level)) {
         if (lane.requests.size() > 0) {
@@ -383,7 +407,8 @@
     // A request that will miss its target, but not its timeout, has waited for too long to refuse
     // it.
     long left = request.expiresAt() - now;
-    return judge(lane, estimate, left, QueueRefusal.Reason.ESTIMATE_ROSE);
+    return judge(
+        lane, estimate, left, CLEARLY_WORSE_WHILE_WAITING, QueueRefusal.Reason.ESTIMATE_ROSE);
   }
 
   /** Returns whether a request waits that only the primary may serve. */
