Let reads use the primary if no replica is likely to serve them

With the fair queue, reads left half of the primary's connections free also where all replicas were likely to be behind, so that a read shortly after a commit made a round trip to each of them first. Such reads, and those whose replicas fail or were tried, may use the primary as before.

mvn -pl gateway -am verify -Dtest=org.oleanderstep.gateway.session.**,LoadSimulationTest passes; there is no test of its own for this rule yet.

--- a/gateway/src/main/java/org/oleanderstep/gateway/target/ServicePool.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/target/ServicePool.java
@@ -308,8 +308,16 @@
     Duration timeSinceReached = history.timeSinceReached(requiredPosition.get(), clock.read());
     List<MemberPool> ranked =
         ranking.rank(pools.values(), primary(), request, requiredPosition.get(), timeSinceReached);
+    boolean replicaMayServe =
+        ranked.stream()
+            .anyMatch(
+                pool ->
+                    !pool.canServeWrites()
+                        && !pool.isFailing()
+                        && !request.avoids(pool)
+                        && !pool.isBehind(requiredPosition.get(), timeSinceReached));
     List<MemberPool> candidates =
-        ranked.stream().filter(pool -> maySendRead(pool, ranked)).toList();
+        ranked.stream().filter(pool -> !replicaMayServe || maySendRead(pool)).toList();
     return takeFrom(request, candidates, requiredPosition, timeSinceReached, mayOpen);
   }
 
@@ -317,8 +325,8 @@
    * Returns whether a read may go to a member. With the fair queue, reads that replicas can serve
    * leave half of the primary's connections to the statements that only the primary can serve.
    */
-  private boolean maySendRead(MemberPool pool, List<MemberPool> candidates) {
-    if (openingOrder.isEmpty() || candidates.size() == 1 || !pool.canServeWrites()) {
+  private boolean maySendRead(MemberPool pool) {
+    if (openingOrder.isEmpty() || !pool.canServeWrites()) {
       return true;
     }
     int inUse = pool.leasedConnections() + pool.openingConnections();
