--- a/gateway/src/main/java/org/oleanderstep/gateway/target/ServiceMeasurements.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/target/ServiceMeasurements.java
@@ -33,6 +33,9 @@
 
   private static final Duration REPORT_INTERVAL = Duration.ofMillis(500);
 
+  /** Shorter than an ejection by far; each update compares all members of the service. */
+  private static final Duration EJECTION_INTERVAL = Duration.ofMillis(100);
+
   // A member is reported as avoided from the higher ratio to the best member's time to the lower
   // one, so that lines are rare.
   private static final double REPORTED_AS_SLOW = 3;
@@ -49,6 +52,7 @@
   private final Set<MemberId> slow = new HashSet<>();
   private final long createdAt;
   private long reportedAt;
+  private long ejectionsUpdatedAt;
 
   ServiceMeasurements(
       String service,
@@ -64,6 +68,7 @@
     balancer = new ReadBalancer(random);
     createdAt = now;
     reportedAt = now;
+    ejectionsUpdatedAt = now;
   }
 
   /** Returns whether statements are measured at all. */
@@ -162,7 +167,8 @@
 
   /** Ejects members, ends ejections, and reports both and what was measured. */
   void tick(Collection<MemberPool> pools, Optional<MemberPool> primary, long now) {
-    if (policy.outlierEjection()) {
+    if (policy.outlierEjection() && now - ejectionsUpdatedAt >= EJECTION_INTERVAL.toNanos()) {
+      ejectionsUpdatedAt = now;
       updateEjections(pools, primary, now);
     }
     if (isActive() && now - reportedAt >= REPORT_INTERVAL.toNanos()) {
