Allow one dropped reply among the commands in flight

A member refused BEGIN after a repeated reply had taken its place. The refusal and the replies to the two commands that confirm BEGIN were all dropped as repeated, further repeated replies answered those commands, and a write ran outside of its transaction while its caller was told that nothing was kept. A second dropped reply without a known proof now closes the connection while commands are in flight.

--- a/gateway/src/main/java/org/oleanderstep/gateway/target/PooledConnection.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/target/PooledConnection.java
@@ -237,7 +237,10 @@
     switch (matcher.match(reply)) {
       case REPLY -> deliver(reply);
       case REPLY_OR_REPEATED_REFUSAL -> acceptRefusal(reply);
-      case REPEATED -> pool.onRepeatedReply(reply, pendingCommandNames());
+      case REPEATED -> {
+        matcher.drop(reply);
+        pool.onRepeatedReply(reply, pendingCommandNames());
+      }
       case CONTRADICTORY -> {
         pool.onContradictoryReply(reply, matcher.status(), pendingCommandNames());
         close("the member sent a reply that belongs to no command");
--- a/gateway/src/main/java/org/oleanderstep/gateway/target/ReplyMatcher.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/target/ReplyMatcher.java
@@ -18,6 +18,10 @@
  * one to which the command can lead. A position that falls contradicts only a write, and a refusal
  * that has come before: what a former primary had is rolled back.
  *
+ * <p>A reply without a proof that is dropped as an earlier one may be that to a command whose place
+ * a repeated one took. One may be dropped while commands are in flight; the next one is
+ * contradictory, since repeated replies could otherwise answer all commands that follow.
+ *
  * <p>Not thread-safe.
  */
 final class ReplyMatcher {
@@ -44,9 +48,13 @@
   private LogPosition position = LogPosition.START;
   private long commandsSent;
 
+  /** Whether a reply that may be that to a command in flight has been dropped. */
+  private boolean droppedInFlight;
+
   /** Adds a command that is about to be sent. */
   void add(TargetCommand command, long sentAt, boolean mayWrite, ReplyHandler handler) {
     commandsSent++;
+    droppedInFlight &= hasPending();
     pending.addLast(new PendingCommand(command, commandsSent, sentAt, mayWrite, handler));
   }
 
@@ -78,12 +86,26 @@
   Match match(TargetReply reply) {
     if (!canBelongToOldest(reply)) {
       boolean repeated = history.contains(reply) && (hasPending() || reply.status() == status);
-      return repeated ? Match.REPEATED : Match.CONTRADICTORY;
+      return repeated ? repeated(reply) : Match.CONTRADICTORY;
     }
     if (reply.succeeded() || !history.containsRefusal(reply)) {
       return Match.REPLY;
     }
-    return isLeftBehind(reply) ? Match.REPEATED : Match.REPLY_OR_REPEATED_REFUSAL;
+    return isLeftBehind(reply) ? repeated(reply) : Match.REPLY_OR_REPEATED_REFUSAL;
+  }
+
+  private Match repeated(TargetReply reply) {
+    return droppedInFlight && mayBeInFlight(reply) ? Match.CONTRADICTORY : Match.REPEATED;
+  }
+
+  /** A reply with a proof that has come before is certainly repeated. */
+  private boolean mayBeInFlight(TargetReply reply) {
+    return hasPending() && reply.proof().isEmpty();
+  }
+
+  /** Records that a reply is dropped as an earlier one again. */
+  void drop(TargetReply reply) {
+    droppedInFlight |= mayBeInFlight(reply);
   }
 
   /** Records a reply as that to the oldest command, which is returned. */
--- a/gateway/src/test/java/org/oleanderstep/gateway/session/RepeatedRepliesTest.java
+++ b/gateway/src/test/java/org/oleanderstep/gateway/session/RepeatedRepliesTest.java
@@ -164,6 +164,34 @@
     assertThat(member.position).isEqualTo(nothingCommitted);
   }
 
+  // The replies to BEGIN and to the commands that confirm it were all dropped as repeated, and
+  // further repeated ones took their places. The write ran outside of its transaction, and its
+  // caller was told that nothing was kept.
+  @Test
+  void should_not_confirm_a_begin_by_repeated_replies_alone() {
+    member.refusedStatements = 1;
+    write("a");
+    caller.run(StatementKind.BEGIN, "BEGIN");
+    write("b");
+    caller.run(StatementKind.ROLLBACK, "ROLLBACK");
+    caller.run(StatementKind.BEGIN, "BEGIN");
+    member.refusedBegins = 1;
+    caller.send(StatementKind.WRITE, "WRITE c");
+    repeatBegun();
+    fixture.deliver();
+    repeatBegun();
+    repeatBegun();
+    settle();
+
+    assertThat(member.committedStatements).containsExactly("WRITE a");
+    assertThat(statementOfLastAnswer()).isEqualTo("WRITE c");
+    assertThat(caller.status).isEqualTo(SessionStatus.IN_TRANSACTION);
+  }
+
+  private void repeatBegun() {
+    member.send(Answer.DONE, SessionStatus.IN_TRANSACTION, Optional.of(member.position));
+  }
+
   // A refused PREPARE counted as confirmed; the replies behind it went to other callers.
   @Test
   void should_not_take_a_repeated_confirmation_for_that_of_a_prepared_statement() {
