Confirm a refusal that may be that to an earlier ROLLBACK

BEGIN was refused, a repeated reply stood for that to the ROLLBACK behind it, and the refusal of that ROLLBACK answered the next write, which ran. After a ROLLBACK outside of a transaction whose reply may be a repeated one, a refusal is now passed on only after two commands without effect have been answered in step, until a new proof arrives.

--- a/gateway/src/main/java/org/oleanderstep/gateway/target/PooledConnection.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/target/PooledConnection.java
@@ -236,7 +236,7 @@
     }
     switch (matcher.match(reply)) {
       case REPLY -> deliver(reply);
-      case REPLY_OR_REPEATED_REFUSAL -> acceptRefusal(reply);
+      case UNCERTAIN_REFUSAL -> acceptRefusal(reply);
       case REPEATED -> {
         matcher.drop(reply);
         pool.onRepeatedReply(reply, pendingCommandNames());
@@ -264,8 +264,8 @@
   }
 
   /**
-   * Accepts a refusal that may be an earlier one again; the command may have run then. The replies
-   * to the commands behind it show which it is; if there are none, some are sent.
+   * Accepts a refusal that may be that to another command; the command may have run then. The
+   * replies to the commands behind it show which it is; if there are none, some are sent.
    */
   private void acceptRefusal(TargetReply reply) {
     boolean isLast = matcher.pending().size() == 1;
--- a/gateway/src/main/java/org/oleanderstep/gateway/target/ReplyHistory.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/target/ReplyHistory.java
@@ -20,6 +20,7 @@
   private final RecentDigests proven = new RecentDigests(MAX_PROOFS);
   private final RecentDigests plain = new RecentDigests(MAX_OTHERS);
   private final RecentDigests refusalsWithPosition = new RecentDigests(MAX_OTHERS);
+  private final RecentDigests confirmationsWithPosition = new RecentDigests(MAX_OTHERS);
 
   /** Adds a reply that was accepted as that to a command. */
   void add(TargetReply reply) {
@@ -29,9 +30,7 @@
       return;
     }
     plain.add(content(reply));
-    if (!reply.succeeded()) {
-      refusalsWithPosition.add(contentWithPosition(reply));
-    }
+    withPosition(reply).add(contentWithPosition(reply));
   }
 
   /** Returns whether an earlier reply had this proof. */
@@ -44,9 +43,13 @@
     return (reply.proof().isPresent() ? proven : plain).contains(content(reply));
   }
 
-  /** Returns whether an earlier refusal was the same and had the same position. */
-  boolean containsRefusal(TargetReply reply) {
-    return refusalsWithPosition.contains(contentWithPosition(reply));
+  /** Returns whether an earlier reply without a proof was the same and had the same position. */
+  boolean containsWithPosition(TargetReply reply) {
+    return withPosition(reply).contains(contentWithPosition(reply));
+  }
+
+  private RecentDigests withPosition(TargetReply reply) {
+    return reply.succeeded() ? confirmationsWithPosition : refusalsWithPosition;
   }
 
   private static long content(TargetReply reply) {
--- a/gateway/src/main/java/org/oleanderstep/gateway/target/ReplyMatcher.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/target/ReplyMatcher.java
@@ -30,8 +30,8 @@
   enum Match {
     /** It belongs to the oldest command. */
     REPLY,
-    /** It is that of the oldest command, or an earlier refusal again. */
-    REPLY_OR_REPEATED_REFUSAL,
+    /** It is that of the oldest command, an earlier refusal again, or that of a ROLLBACK. */
+    UNCERTAIN_REFUSAL,
     /** It is an earlier one again. */
     REPEATED,
     /** It belongs to no command. */
@@ -51,6 +51,12 @@
   /** Whether a reply that may be that to a command in flight has been dropped. */
   private boolean droppedInFlight;
 
+  /**
+   * Whether the reply to a ROLLBACK outside of a transaction may still arrive, since a repeated one
+   * may have taken its place. A new proof shows that it does not.
+   */
+  private boolean rollbackMayBeDue;
+
   /** Adds a command that is about to be sent. */
   void add(TargetCommand command, long sentAt, boolean mayWrite, ReplyHandler handler) {
     commandsSent++;
@@ -88,10 +94,13 @@
       boolean repeated = history.contains(reply) && (hasPending() || reply.status() == status);
       return repeated ? repeated(reply) : Match.CONTRADICTORY;
     }
-    if (reply.succeeded() || !history.containsRefusal(reply)) {
+    if (reply.succeeded()) {
       return Match.REPLY;
     }
-    return isLeftBehind(reply) ? repeated(reply) : Match.REPLY_OR_REPEATED_REFUSAL;
+    if (!history.containsWithPosition(reply)) {
+      return rollbackMayBeDue ? Match.UNCERTAIN_REFUSAL : Match.REPLY;
+    }
+    return isLeftBehind(reply) ? repeated(reply) : Match.UNCERTAIN_REFUSAL;
   }
 
   private Match repeated(TargetReply reply) {
@@ -110,10 +119,19 @@
 
   /** Records a reply as that to the oldest command, which is returned. */
   PendingCommand accept(TargetReply reply) {
+    PendingCommand oldest = pending.removeFirst();
+    rollbackMayBeDue = mayLeaveRollback(reply, oldest.command);
     history.add(reply);
     status = reply.status();
     reply.position().ifPresent(p -> position = p);
-    return pending.removeFirst();
+    return oldest;
+  }
+
+  private boolean mayLeaveRollback(TargetReply reply, TargetCommand command) {
+    boolean idleRollback =
+        command instanceof TargetCommand.Rollback && status == SessionStatus.IDLE;
+    boolean mayBeRepeated = reply.succeeded() && history.containsWithPosition(reply);
+    return reply.proof().isEmpty() && (rollbackMayBeDue || (idleRollback && mayBeRepeated));
   }
 
   private boolean canBelongToOldest(TargetReply reply) {
--- a/gateway/src/test/java/org/oleanderstep/gateway/session/RepeatedRepliesTest.java
+++ b/gateway/src/test/java/org/oleanderstep/gateway/session/RepeatedRepliesTest.java
@@ -145,6 +145,27 @@
     assertThat(member.executedStatements).isEmpty();
   }
 
+  // BEGIN was refused, and a repeated reply stood for that to ROLLBACK, which was refused as well.
+  // The write that came next ran, and its caller was told that it was not run.
+  @Test
+  void should_not_take_the_late_refusal_of_a_rollback_for_that_of_a_write() {
+    caller.send(StatementKind.READ, "READ a");
+    settle();
+    member.refusedBegins = 1;
+    member.refusedStatements = 1;
+    member.refusesIdleRollbacks = true;
+    caller.send(StatementKind.READ, "READ b");
+    FakeCaller second = fixture.open(PRIMARY_DATABASE, SHOP_KEY);
+    second.send(StatementKind.WRITE, "WRITE c");
+    fixture.deliverOne();
+    fixture.deliverOne();
+    member.send(Answer.DONE, SessionStatus.IDLE, Optional.of(member.position));
+    settle();
+
+    assertThat(member.committedStatements).containsExactly("WRITE c");
+    assertThat(second.failure().notRun()).isFalse();
+  }
+
   // The statements of the transaction ran outside of it.
   @Test
   void should_not_take_a_repeated_begin_for_that_of_a_transaction() {
