--- a/gateway/src/main/java/org/oleanderstep/gateway/target/PooledConnection.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/target/PooledConnection.java
@@ -236,8 +236,11 @@
     }
     switch (matcher.match(reply)) {
       case REPLY -> deliver(reply);
-      case REPLY_OR_REPEATED_REFUSAL -> acceptRefusal(reply);
-      case REPEATED -> pool.onRepeatedReply(reply, pendingCommandNames());
+      case UNCERTAIN_REFUSAL -> acceptRefusal(reply);
+      case REPEATED -> {
+        matcher.drop(reply);
+        pool.onRepeatedReply(reply, pendingCommandNames());
+      }
       case CONTRADICTORY -> {
         pool.onContradictoryReply(reply, matcher.status(), pendingCommandNames());
         close("the member sent a reply that belongs to no command");
@@ -261,8 +264,8 @@
   }
 
   /**
-   * Accepts a refusal that may be an earlier one again; the command may have run then. The replies
-   * to the commands behind it show which it is; if there are none, some are sent.
+   * Accepts a refusal that may be that to another command; the command may have run then. The
+   * replies to the commands behind it show which it is; if there are none, some are sent.
    */
   private void acceptRefusal(TargetReply reply) {
     boolean isLast = matcher.pending().size() == 1;
--- a/gateway/src/test/java/org/oleanderstep/gateway/session/RepeatedRepliesTest.java
+++ b/gateway/src/test/java/org/oleanderstep/gateway/session/RepeatedRepliesTest.java
@@ -145,6 +145,27 @@
     assertThat(member.executedStatements).isEmpty();
   }
 
+  // BEGIN was refused, and a repeated reply stood for that to ROLLBACK, which was refused as well.
+  // The write that came next ran, and its caller was told that it was not run.
+  @Test
+  void should_not_take_the_late_refusal_of_a_rollback_for_that_of_a_write() {
+    caller.send(StatementKind.READ, "READ a");
+    settle();
+    member.refusedBegins = 1;
+    member.refusedStatements = 1;
+    member.refusesIdleRollbacks = true;
+    caller.send(StatementKind.READ, "READ b");
+    FakeCaller second = fixture.open(PRIMARY_DATABASE, SHOP_KEY);
+    second.send(StatementKind.WRITE, "WRITE c");
+    fixture.deliverOne();
+    fixture.deliverOne();
+    member.send(Answer.DONE, SessionStatus.IDLE, Optional.of(member.position));
+    settle();
+
+    assertThat(member.committedStatements).containsExactly("WRITE c");
+    assertThat(second.failure().notRun()).isFalse();
+  }
+
   // The statements of the transaction ran outside of it.
   @Test
   void should_not_take_a_repeated_begin_for_that_of_a_transaction() {
@@ -164,6 +185,34 @@
     assertThat(member.position).isEqualTo(nothingCommitted);
   }
 
+  // The replies to BEGIN and to the commands that confirm it were all dropped as repeated, and
+  // further repeated ones took their places. The write ran outside of its transaction, and its
+  // caller was told that nothing was kept.
+  @Test
+  void should_not_confirm_a_begin_by_repeated_replies_alone() {
+    member.refusedStatements = 1;
+    write("a");
+    caller.run(StatementKind.BEGIN, "BEGIN");
+    write("b");
+    caller.run(StatementKind.ROLLBACK, "ROLLBACK");
+    caller.run(StatementKind.BEGIN, "BEGIN");
+    member.refusedBegins = 1;
+    caller.send(StatementKind.WRITE, "WRITE c");
+    repeatBegun();
+    fixture.deliver();
+    repeatBegun();
+    repeatBegun();
+    settle();
+
+    assertThat(member.committedStatements).containsExactly("WRITE a");
+    assertThat(statementOfLastAnswer()).isEqualTo("WRITE c");
+    assertThat(caller.status).isEqualTo(SessionStatus.IN_TRANSACTION);
+  }
+
+  private void repeatBegun() {
+    member.send(Answer.DONE, SessionStatus.IN_TRANSACTION, Optional.of(member.position));
+  }
+
   // A refused PREPARE counted as confirmed; the replies behind it went to other callers.
   @Test
   void should_not_take_a_repeated_confirmation_for_that_of_a_prepared_statement() {
