--- a/core/src/main/java/org/oleanderstep/core/memory/CallerAccount.java
+++ b/core/src/main/java/org/oleanderstep/core/memory/CallerAccount.java
@@ -29,6 +29,7 @@
   private long receivedBytes;
   private long statementBytes;
   private long answerBytes;
+  private long stateBytes;
   private long holdsSince;
   private boolean closed;
 
@@ -96,6 +97,11 @@
     }
   }
 
+  /** Notes the bytes that the session keeps between statements. */
+  public void stateKept(long bytes) {
+    accounts.change(this, () -> stateBytes = bytes);
+  }
+
   /** Returns whether more may be read of the connection. */
   public boolean mayRead() {
     return statements.size() < accounts.limits().statementsAhead()
@@ -109,7 +115,7 @@
 
   /** Returns the bytes held for the connection. */
   public long heldBytes() {
-    return receivedBytes + statementBytes + answerBytes;
+    return receivedBytes + statementBytes + answerBytes + stateBytes;
   }
 
   /** Returns the organisation; empty before a valid key. */
--- a/core/src/main/java/org/oleanderstep/core/scheduling/ConcurrencyLimit.java
+++ b/core/src/main/java/org/oleanderstep/core/scheduling/ConcurrencyLimit.java
@@ -106,6 +106,18 @@
     }
   }
 
+  /**
+   * Ends a statement whose latency says nothing of the member's load.
+   *
+   * @throws IllegalStateException if no statement is in flight
+   */
+  public void endUnmeasured() {
+    if (inFlight == 0) {
+      throw new IllegalStateException("a statement ended while none was in flight");
+    }
+    inFlight--;
+  }
+
   private void recordLatency(long latencyNanos) {
     double latency = Math.max(1, latencyNanos);
     if (baselineLatency == 0) {
--- a/core/src/test/java/org/oleanderstep/core/memory/CallerAccountsTest.java
+++ b/core/src/test/java/org/oleanderstep/core/memory/CallerAccountsTest.java
@@ -59,6 +59,16 @@
     assertThat(accounts.heldBytes()).isLessThan(LIMITS.bytes());
   }
 
+  // Variables and prepared statements stay in the memory after their statements were answered.
+  @Test
+  void should_count_what_a_session_keeps_between_statements() {
+    CallerAccount account = open("a");
+    account.stateKept(LIMITS.bytes());
+
+    assertThat(closed).containsExactly(account);
+    assertThat(accounts.heldBytes()).isEqualTo(0);
+  }
+
   // A large message that has just come would be closed before one that has stopped halfway.
   @Test
   void should_close_the_one_that_has_held_for_longest_among_those_that_hold_much() {
--- a/gateway/src/main/java/org/oleanderstep/gateway/session/CallerChannel.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/session/CallerChannel.java
@@ -20,6 +20,13 @@
     return true;
   }
 
+  /**
+   * Notes how many characters of variables and prepared statements the session keeps.
+   *
+   * @param characters the present total
+   */
+  default void stateChanged(long characters) {}
+
   /** Returns whether the caller has sent a part of its next statement. */
   boolean isReceiving();
 
--- a/gateway/src/main/java/org/oleanderstep/gateway/session/Session.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/session/Session.java
@@ -61,6 +61,7 @@
   private Optional<TransactionState> transaction = Optional.empty();
   private Optional<StatementTask> task = Optional.empty();
   private LogPosition lastCommit = LogPosition.START;
+  private long stateCharacters;
   private boolean busy;
   private long startedAt;
   private String requestId = "";
@@ -188,6 +189,7 @@
         && !closed
         && !busy
         && queued.isEmpty()
+        && queued.isEmpty()
         && status == SessionStatus.IDLE
         && !channel.isReceiving()
         && !expectsFirstStatement();
@@ -316,7 +318,8 @@
           FailureCode.MALFORMED, "the variable has no name, or the session has too many variables");
       return;
     }
-    variables.put(statement.name(), statement.argument());
+    String previous = variables.put(statement.name(), statement.argument());
+    keep(statement, previous);
     answer(Answer.DONE);
   }
 
@@ -327,16 +330,32 @@
           "the statement has no name, or the session has too many prepared statements");
       return;
     }
-    prepared.put(statement.name(), new PreparedStatement(statement.effect(), statement.argument()));
+    PreparedStatement previous =
+        prepared.put(
+            statement.name(), new PreparedStatement(statement.effect(), statement.argument()));
+    keep(statement, previous == null ? null : previous.template);
     answer(Answer.DONE);
   }
 
   private void deallocate(Statement statement) {
-    if (prepared.remove(statement.name()) == null) {
+    PreparedStatement removed = prepared.remove(statement.name());
+    if (removed == null) {
       fail(FailureCode.UNKNOWN_STATEMENT, "no prepared statement has this name");
-    } else {
-      answer(Answer.DONE);
+      return;
     }
+    updateState(-(long) (statement.name().length() + removed.template.length()));
+    answer(Answer.DONE);
+  }
+
+  /** Accounts for a name and its value, which replace the previous value, if there was one. */
+  private void keep(Statement statement, String previous) {
+    int added = statement.argument().length();
+    updateState(previous == null ? statement.name().length() + added : added - previous.length());
+  }
+
+  private void updateState(long change) {
+    stateCharacters += change;
+    channel.stateChanged(stateCharacters);
   }
 
   private void begin(Statement statement) {
@@ -533,6 +552,10 @@
   }
 
   private void serveNext() {
+    if (busy) {
+      // Writing an answer may have resumed the session already.
+      return;
+    }
     if (queued.isEmpty()) {
       closeIfIdle();
     } else if (channel.acceptsAnswers()) {
@@ -540,9 +563,9 @@
     }
   }
 
-  /** Goes on with the statements that have waited for the caller to read its answers. */
+  /** Goes on with what has waited for the caller to read its answers. */
   public void resume() {
-    if (!busy && !closed && !queued.isEmpty()) {
+    if (!closed) {
       serveNext();
     }
   }
--- a/gateway/src/main/java/org/oleanderstep/gateway/target/MemberMeasurements.java
+++ b/gateway/src/main/java/org/oleanderstep/gateway/target/MemberMeasurements.java
@@ -101,7 +101,7 @@
   }
 
   private void onFailure(FailureCode code, double ratio, long now) {
-    end(ratio, code == FailureCode.OVERLOADED, now);
+    endFailed(code, ratio, now);
     switch (code) {
       case OVERLOADED -> load.onRefusal(now);
       case FAILED, TIMEOUT, UNKNOWN_OUTCOME -> {
@@ -114,6 +114,15 @@
     }
   }
 
+  // A failure that comes quickly would pass for an idle member, and lower what counts as usual.
+  private void endFailed(FailureCode code, double ratio, long now) {
+    if (code == FailureCode.OVERLOADED || ratio >= 1) {
+      end(Math.max(1, ratio), code == FailureCode.OVERLOADED, now);
+    } else {
+      limit.endUnmeasured();
+    }
+  }
+
   private void end(double ratio, boolean dropped, long now) {
     limit.end((long) (ratio * NANOS_OF_REFERENCE), dropped, now);
   }
@@ -126,10 +135,12 @@
   void onLost(WorkClass.Kind kind, long ageNanos, boolean byMember, long now) {
     boolean failed = byMember || ageNanos >= MIN_WAIT_OF_FAILURE.toNanos();
     double ratio = references.ratio(kind, ageNanos);
-    end(ratio, failed, now);
     if (failed) {
+      end(Math.max(1, ratio), true, now);
       load.onNoReply(ratio, now);
       listener.onOutcome(true, now);
+    } else {
+      limit.endUnmeasured();
     }
   }
 }
--- a/gateway/src/test/java/org/oleanderstep/gateway/FakeCaller.java
+++ b/gateway/src/test/java/org/oleanderstep/gateway/FakeCaller.java
@@ -23,6 +23,9 @@
   public boolean closed;
   public boolean receiving;
 
+  /** Resumes the session while an answer is written, as a connection that drains at once does. */
+  public boolean resumesWhileAnswered;
+
   /** Thrown instead of recording the next answer, if set. */
   public RuntimeException defect;
 
@@ -102,6 +105,9 @@
     }
     answers.add(answer);
     status = newStatus;
+    if (resumesWhileAnswered) {
+      session.resume();
+    }
   }
 
   @Override
--- a/gateway/src/test/java/org/oleanderstep/gateway/session/SessionStateTest.java
+++ b/gateway/src/test/java/org/oleanderstep/gateway/session/SessionStateTest.java
@@ -146,6 +146,23 @@
     assertThat(fixture.first.executedStatements).contains("COMMIT");
   }
 
+  // Two statements of one session ran at the same time, and their answers could change places.
+  @Test
+  void should_serve_one_statement_at_a_time_when_it_is_resumed_while_it_answers() {
+    FakeCaller caller = open();
+    caller.resumesWhileAnswered = true;
+    caller.send(StatementKind.WRITE, "WRITE a 1");
+    caller.send(StatementKind.WRITE, "WRITE b 2");
+    caller.send(StatementKind.WRITE, "WRITE c 3");
+    fixture.deliver();
+
+    assertThat(caller.answers).hasSize(3);
+    assertThat(fixture.first.executedStatements)
+        .containsExactly("WRITE a 1 {}", "WRITE b 2 {}", "WRITE c 3 {}")
+        .inOrder();
+    assertThat(fixture.first.openConnections).isEqualTo(1);
+  }
+
   // A planned stop must not interrupt open transactions.
   @Test
   void should_close_only_idle_sessions() {
