--- a/core/src/main/java/org/oleanderstep/core/balancing/MemberLoad.java
+++ b/core/src/main/java/org/oleanderstep/core/balancing/MemberLoad.java
@@ -40,7 +40,7 @@
 
   /**
    * The memory of a member that is still slow each time it is tried again. With a shorter one, the
-   * trials of 99 processes would be a large part of a service's reads.
+   * trials of a large fleet would be a large part of a service's reads.
    */
   private static final Duration MAX_LATENCY_MEMORY = Duration.ofSeconds(9);
 
