--- a/review/standins-2/Group.java
+++ b/review/standins-2/Group.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.Semaphore;
@@ -53,6 +54,9 @@
   private long number = 1_000;
   private volatile boolean closed;
 
+  /** The ids of the callers' statements that were run. */
+  final Set<String> ranIds = ConcurrentHashMap.newKeySet();
+
   /** Counts the caller's statements that were run. */
   final AtomicLong runs = new AtomicLong();
 
@@ -405,6 +409,7 @@
 
     private void note(String id, String what) {
       runs.incrementAndGet();
+      ranIds.add(id);
       if (recordsRuns) {
         String shortId = id.length() > 40 ? id.substring(0, 40) + "...(" + id.length() + ")" : id;
         record.write(member.id, "runs " + shortId + " of " + tenant + ": " + what);
