--- a/review/standins-2/Group.java
+++ b/review/standins-2/Group.java
@@ -63,6 +63,9 @@
   /** Until when the databases have no slot for a statement, in System.nanoTime(). */
   volatile long busyUntil = System.nanoTime();
 
+  /** The part of the requests run by the primary whose answer is lost. */
+  volatile double lostAnswers;
+
   /** Whether each run is written to the record. */
   volatile boolean recordsRuns = true;
 
@@ -380,6 +383,9 @@
       note(id, "COMMIT of " + writes.size() + " writes at " + TERM + "." + at);
       writes = null;
       state = 'I';
+      if (isLost(id)) {
+        return;
+      }
       send("COMPLETE " + proof(), ready());
     }
 
@@ -394,6 +400,14 @@
         return;
       }
       note(id, kind + " " + item + " " + data);
+      if (isLost(id)) {
+        if (kind.equals("WRITE") && state == 'T') {
+          writes.put(item, data);
+        } else if (kind.equals("WRITE")) {
+          Group.this.commit(Map.of(item, data));
+        }
+        return;
+      }
       if (kind.equals("READ")) {
         String value = valueAt(item, position(member.primary));
         send("ROW " + value, "COMPLETE " + proof(), ready());
@@ -407,6 +421,14 @@
       send("COMPLETE " + proof(), ready());
     }
 
+    private boolean isLost(String id) {
+      boolean lost = member.primary && Math.random() < lostAnswers;
+      if (lost) {
+        record.write(member.id, "the answer to " + id + " is lost");
+      }
+      return lost;
+    }
+
     private void note(String id, String what) {
       runs.incrementAndGet();
       ranIds.add(id);
