--- a/review/standins-2/LostAnswers.java
+++ b/review/standins-2/LostAnswers.java
@@ -59,7 +59,7 @@
     sleepUntil(from + BEFORE_SECONDS);
     double killedAt = rig.record.seconds();
     for (Proxy each : rig.proxies) {
-      each.signal("KILL");
+      each.kill();
     }
     sleepUntil(killedAt + DOWN_SECONDS);
     for (Proxy each : rig.proxies) {
--- a/review/standins-2/Proxy.java
+++ b/review/standins-2/Proxy.java
@@ -3,6 +3,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.URI;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -18,6 +19,8 @@
 
   private static final Pattern PLACEHOLDER = Pattern.compile("\\{\\{([a-z_.0-9]+)(\\|json)?\\}\\}");
 
+  private static final int LONGEST_LINE = 300;
+
   final String name;
   final InetSocketAddress front;
   final InetSocketAddress ready;
@@ -130,15 +133,25 @@
     throw new IOException(name + " does not get ready");
   }
 
-  void signal(String signal) throws IOException, InterruptedException {
-    record.write("rig", "sends " + signal + " to " + name);
-    new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
+  /** Sends SIGTERM. */
+  void terminate() {
+    record.write("rig", "sends SIGTERM to " + name);
+    process.destroy();
+  }
+
+  /** Sends SIGKILL. */
+  void kill() {
+    record.write("rig", "sends SIGKILL to " + name);
+    process.destroyForcibly();
   }
 
   /** Returns the lines of the log that hold a text. */
   List<String> logLines(String text) throws IOException {
-    try (var lines = Files.lines(log, java.nio.charset.StandardCharsets.ISO_8859_1)) {
-      return lines.filter(line -> line.contains(text)).map(l -> l.length() > 300 ? l.substring(0, 300) : l).toList();
+    try (var lines = Files.lines(log, StandardCharsets.ISO_8859_1)) {
+      return lines
+          .filter(line -> line.contains(text))
+          .map(line -> line.substring(0, Math.min(line.length(), LONGEST_LINE)))
+          .toList();
     }
   }
 
--- a/review/standins-2/StopAhead.java
+++ b/review/standins-2/StopAhead.java
@@ -80,7 +80,7 @@
     }
     Thread.sleep((long) (BEFORE_SECONDS * 1_000));
     if (Rig.hasTrouble()) {
-      stopped.signal("TERM");
+      stopped.terminate();
     }
     Thread.sleep((long) (STOP_SECONDS * 1_000));
     return sessions;
